--- /dev/null
+++ b/cmd/simhost/facts.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"ravenpond/logic"
+)
+
+const nsPerMs = 1e6
+
+// word turns a word of the facts into the number of its place among the words of a meaning.
+func word(got string, words ...string) (int, error) {
+	i := slices.Index(words, got)
+	if i < 0 {
+		return 0, fmt.Errorf("unknown word %q, expected one of %q", got, words)
+	}
+	return i, nil
+}
+
+// readFacts turns an instance's first message into the cluster it describes. Unknown keys are skipped.
+func readFacts(text []byte) (*logic.Cluster, error) {
+	var f struct {
+		Discovery string
+		Family    string
+		Info      struct {
+			Priority     []int     `json:"class-priority"`
+			ColdBears    float64   `json:"cold-bears"`
+			CoresLimit   float64   `json:"cores-multiple"`
+			MemoryLimit  float64   `json:"memory-multiple"`
+			KindCores    []float64 `json:"cpu-of-kind"`
+			KindMemory   []float64 `json:"mem-of-kind"`
+			Displaces    bool      `json:"displaces"`
+			Kinds        []int     `json:"kind-by-class"`
+			ListsFree    bool      `json:"lists-free"`
+			MeanCores    float64   `json:"unit-cores"`
+			MeanMemory   float64   `json:"mean-memory"`
+			MeasuredBy   string    `json:"measured-by"`
+			Most         []int     `json:"most-together"`
+			RefusedPrice float64   `json:"refused-price"`
+			TenantCores  []float64 `json:"share-cores"`
+			Spread       []string  `json:"spread-over"`
+			StartFor     []float64 `json:"start-seconds"`
+		} `json:"family-info"`
+		Instances int
+		OverShare float64 `json:"over-share-worth"`
+		Limits    struct {
+			Cancel   bool
+			MaxTries int `json:"max-attempts"`
+			Probes   bool
+		} `json:"policy-limits"`
+		Report struct {
+			Fields []string
+			How    string
+		}
+		Rules struct {
+			AskEvery   float64 `json:"ask-every-ns"`
+			ColdFor    float64 `json:"cold-ns"`
+			Slack      float64 `json:"grace-to-answer-ns"`
+			FallWindow float64 `json:"overload-for-ns"`
+		}
+		Services []struct {
+			Target    float64 `json:"aim-ns"`
+			Effect    string
+			Group     string
+			LateWorth float64 `json:"late-worth"`
+			Window    float64 `json:"window-ns"`
+			Worth     float64
+		}
+		Step float64 `json:"step-ns"`
+	}
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("facts do not parse: %w", err)
+	}
+	if len(f.Services) == 0 || f.Instances < 1 {
+		return nil, fmt.Errorf("facts name %d job types and %d instances", len(f.Services), f.Instances)
+	}
+	if len(f.Info.KindCores) != len(f.Info.KindMemory) {
+		return nil, fmt.Errorf("facts give cores of %d kinds, memory of %d", len(f.Info.KindCores),
+			len(f.Info.KindMemory))
+	}
+	cl := &logic.Cluster{
+		Schedulers: f.Instances, AsksForList: f.Discovery == "ask", AskEvery: f.Rules.AskEvery / nsPerMs,
+		AnswerSlack: f.Rules.Slack / nsPerMs, Step: f.Step / nsPerMs, MaxTries: f.Limits.MaxTries,
+		MayRecall: f.Limits.Cancel, MayProbe: f.Limits.Probes, KindCores: f.Info.KindCores,
+		KindMemory: f.Info.KindMemory, CoresLimit: f.Info.CoresLimit, MemoryLimit: f.Info.MemoryLimit,
+		ListsFree: f.Info.ListsFree, CountsUse: f.Info.MeasuredBy == "used", Report: f.Report.Fields,
+		ReportsCome: f.Report.How == "piggyback", ColdBears: f.Info.ColdBears, ColdFor: f.Rules.ColdFor / nsPerMs,
+		FallWindow: f.Rules.FallWindow / nsPerMs, TenantCores: f.Info.TenantCores, OverShare: f.OverShare,
+		Displaces: f.Info.Displaces, MeanCores: f.Info.MeanCores, MeanMemory: f.Info.MeanMemory,
+		RefusedPrice: f.Info.RefusedPrice,
+	}
+	for i, c := range f.Services {
+		effect, err := word(c.Effect, "free", "guarded", "single_shot")
+		if err != nil {
+			return nil, err
+		}
+		group := 0
+		if effect == int(logic.Tokened) {
+			if group, err = word(c.Group, "all", "zone", "cell"); err != nil {
+				return nil, err
+			}
+		}
+		spread, err := word(at(f.Info.Spread, i, "silent"), "silent", "machine", "cell", "zone")
+		if err != nil {
+			return nil, err
+		}
+		cl.JobTypes = append(cl.JobTypes, logic.JobType{
+			Effect: logic.Effect(effect), Group: logic.Group(group), Window: c.Window / nsPerMs,
+			Target: c.Target / nsPerMs, Value: c.Worth, StartFor: at(f.Info.StartFor, i, 0), LateWorth: c.LateWorth,
+			Priority: at(f.Info.Priority, i, 0), Kind: at(f.Info.Kinds, i, -1), Spread: logic.Place(spread),
+			Most: at(f.Info.Most, i, 1),
+		})
+	}
+	return cl, nil
+}
+
+func at[T any](list []T, i int, absent T) T {
+	if i < len(list) {
+		return list[i]
+	}
+	return absent
+}
--- /dev/null
+++ b/cmd/simhost/main.go
@@ -0,0 +1,256 @@
+// Simhost plays many schedulers on the bench's wire: each instance is one decision module, and nothing is
+// shared between them.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"ravenpond/internal/wire"
+	"ravenpond/logic"
+)
+
+func main() {
+	out := bufio.NewWriterSize(os.Stdout, 1<<16)
+	if err := serve(os.Stdin, out); err != nil {
+		fmt.Fprintln(os.Stderr, "simhost:", err)
+		os.Exit(1)
+	}
+}
+
+// instance hosts one scheduler and writes what it decides as actions.
+type instance struct {
+	sched logic.Told
+	out   *wire.Writer
+	who   uint16
+	round uint64 // the last batch with an event of this instance
+}
+
+type host struct {
+	in     *wire.Reader
+	out    *wire.Writer
+	insts  []*instance // by number; nil where none lives
+	tables [16][]byte
+	round  uint64
+	heard  []*instance // instances with an event in this batch, in order of the first
+	report [4]float64
+}
+
+// serve answers batch after batch until the input ends.
+func serve(in io.Reader, out *bufio.Writer) error {
+	h := &host{in: wire.NewReader(in), out: wire.NewWriter(out)}
+	for {
+		clock, records, err := h.in.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		h.round++
+		h.heard = h.heard[:0]
+		now := float64(clock) / nsPerMs
+		for i := range records {
+			if err := h.event(now, h.in.Record(i)); err != nil {
+				return fmt.Errorf("record %d: %w", i, err)
+			}
+		}
+		for _, inst := range h.heard {
+			if h.insts[inst.who] == inst {
+				inst.guard(func() { inst.sched.Decide(now) })
+			}
+		}
+		if err := h.out.Flush(); err != nil {
+			return err
+		}
+		if err := out.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// event hands one record to the instance it is for.
+func (h *host) event(now float64, rec []byte) error {
+	code := rec[0]
+	if code == wire.Table {
+		page := wire.U32(rec, 1)
+		if page >= uint32(len(h.tables)) {
+			return fmt.Errorf("impossible list number %d", page)
+		}
+		entries, err := h.in.Tail(rec, 5, wire.EntrySize)
+		if err != nil {
+			return err
+		}
+		h.tables[page] = append(h.tables[page][:0], entries...)
+		return nil
+	}
+	who := wire.U16(rec, 1)
+	if code == wire.Create {
+		return h.create(now, who, rec)
+	}
+	if code > wire.Bell {
+		return fmt.Errorf("unknown event code %d", code)
+	}
+	if int(who) >= len(h.insts) || h.insts[who] == nil {
+		return nil // news for an instance that is no more
+	}
+	inst := h.insts[who]
+	if code == wire.Down {
+		h.insts[who] = nil
+		return nil
+	}
+	if inst.round != h.round {
+		inst.round = h.round
+		h.heard = append(h.heard, inst)
+	}
+	var err error
+	inst.guard(func() { err = h.tell(inst.sched, code, now, rec) })
+	return err
+}
+
+func (h *host) create(now float64, who uint16, rec []byte) error {
+	text, err := h.in.Tail(rec, 11, 1)
+	if err != nil {
+		return err
+	}
+	cl, err := readFacts(text)
+	if err != nil {
+		return err
+	}
+	for int(who) >= len(h.insts) {
+		h.insts = append(h.insts, nil)
+	}
+	inst := &instance{out: h.out, who: who, round: h.round}
+	inst.guard(func() { inst.sched = logic.New(inst, now, wire.U64(rec, 3), cl) })
+	h.insts[who] = inst
+	h.heard = append(h.heard, inst)
+	return nil
+}
+
+// tell turns one event into a call.
+func (h *host) tell(s logic.Told, code byte, now float64, r []byte) error {
+	switch code {
+	case wire.Echo:
+		s.Probed(now, wire.U32(r, 3), logic.Verdict(wire.U16(r, 7)), ms(r, 9), h.load(r, 17))
+	case wire.Lapsed:
+		s.Lapsed(now, wire.U32(r, 3))
+	case wire.Confirmed:
+		s.Started(now, wire.U32(r, 3), r[15], ms(r, 7))
+	case wire.Task:
+		s.Allocate(now, wire.U32(r, 3), int(r[7]), int(wire.U16(r, 8)), ms(r, 18), wire.U64(r, 34),
+			wire.F32(r, 42), wire.F32(r, 46))
+	case wire.Found:
+		s.Found(now, wire.U32(r, 3), int(r[7]), int(wire.U16(r, 8)), wire.U64(r, 34), wire.F32(r, 42),
+			wire.F32(r, 46), wire.U32(r, 51))
+	case wire.Settled:
+		verdict := wire.U16(r, 25)
+		if verdict > uint16(logic.Unsent) {
+			return fmt.Errorf("unknown outcome %d", verdict)
+		}
+		s.Settled(now, wire.U32(r, 3), wire.U32(r, 7), r[11], ms(r, 12), r[20] != 0,
+			logic.Reason(wire.U32(r, 21)), logic.Verdict(verdict), h.load(r, 27))
+	case wire.Signal:
+		s.Noted(now, wire.U32(r, 3), r[11], wire.U32(r, 12), logic.NoteKind(r[16]), wire.F32(r, 7))
+	case wire.Bell:
+		s.Woken(now, wire.U64(r, 3))
+	case wire.Sync:
+		return h.list(s, now, r[3], wire.U32(r, 8))
+	}
+	return nil // a peer's message: this service has none
+}
+
+// listKinds and availabilities give the module's word for each of the wire's numbers.
+var (
+	listKinds      = [...]logic.ListKind{logic.ListFull, logic.ListCached, logic.ListChanges, logic.ListFailed}
+	availabilities = [...]logic.Availability{logic.Gone, logic.Ready, logic.Draining}
+)
+
+func (h *host) list(s logic.Told, now float64, mode byte, page uint32) error {
+	if int(mode) >= len(listKinds) {
+		return fmt.Errorf("unknown list mode %d", mode)
+	}
+	kind := listKinds[mode]
+	s.ListBegin(now, kind)
+	if kind != logic.ListFailed {
+		if page >= uint32(len(h.tables)) {
+			return fmt.Errorf("impossible list number %d", page)
+		}
+		for e := h.tables[page]; len(e) >= wire.EntrySize; e = e[wire.EntrySize:] {
+			if int(e[16]) >= len(availabilities) {
+				return fmt.Errorf("unknown availability %d", e[16])
+			}
+			s.ListNode(now, wire.U32(e, 17), availabilities[e[16]], ms(e, 8), wire.F32(e, 4), wire.F32(e, 0),
+				int(e[27]), int(wire.U16(e, 25)), int(e[28]))
+		}
+	}
+	s.ListEnd(now)
+	return nil
+}
+
+func ms(b []byte, at int) float64 { return float64(wire.U64(b, at)) / nsPerMs }
+
+// load reads the load report at the given place; the slice holds until the next call.
+func (h *host) load(b []byte, at int) []float64 {
+	n := min(int(b[at]), len(h.report))
+	for i := range n {
+		h.report[i] = wire.F32(b, at+1+4*i)
+	}
+	return h.report[:n]
+}
+
+// guard reports a panic in a decision as the wire asks.
+func (i *instance) guard(call func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			i.out.Text(wire.Fault, i.who, fmt.Sprint("panic in a decision: ", p))
+		}
+	}()
+	call()
+}
+
+func (i *instance) Offer(alloc, node uint32, timeout float64) {
+	r := i.out.Action(wire.Bind, i.who)
+	wire.Put32(r, 3, alloc)
+	wire.Put32(r, 7, node)
+	wire.Put64(r, 11, ns(timeout))
+}
+
+func (i *instance) Decline(alloc uint32, holdOff float64) {
+	r := i.out.Action(wire.Refuse, i.who)
+	wire.Put32(r, 3, alloc)
+	wire.Put64(r, 7, ns(holdOff))
+}
+
+func (i *instance) Fail(alloc uint32) { i.named(wire.Lose, alloc) }
+func (i *instance) Move(alloc uint32) { i.named(wire.Shift, alloc) }
+func (i *instance) Probe(node uint32) { i.named(wire.Test, node) }
+func (i *instance) Reload()           { i.out.Action(wire.Reload, i.who) }
+
+// named writes an action whose one field is an id.
+func (i *instance) named(code byte, id uint32) { wire.Put32(i.out.Action(code, i.who), 3, id) }
+
+func (i *instance) Recall(alloc uint32, try uint8) {
+	r := i.out.Action(wire.Recall, i.who)
+	wire.Put32(r, 3, alloc)
+	r[7] = try
+}
+
+func (i *instance) Follow(active bool) {
+	r := i.out.Action(wire.Follow, i.who)
+	if active {
+		r[3] = 1
+	}
+}
+
+func (i *instance) Wake(delay float64, key uint64) {
+	r := i.out.Action(wire.Defer, i.who)
+	wire.Put64(r, 3, ns(delay))
+	wire.Put64(r, 11, key)
+}
+
+func (i *instance) Log(line string) { i.out.Text(wire.Log, i.who, line) }
+
+func ns(ms float64) uint64 { return uint64(max(0, ms) * nsPerMs) }
--- /dev/null
+++ b/logic/iface.go
@@ -0,0 +1,159 @@
+package logic
+
+// The module is told what happens by the methods of Told and acts through Host. Times are milliseconds with
+// fractions on the caller's clock, which only moves forward. Calls come one at a time; Decide closes each
+// round of calls that share a time.
+
+// Host carries out what the module decides, in the order of its calls.
+type Host interface {
+	Offer(alloc uint32, node uint32, timeout float64) // a placement try
+	Decline(alloc uint32, holdOff float64)            // final: asking again does no harm
+	Fail(alloc uint32)                                // final: promises nothing
+	Recall(alloc uint32, try uint8)
+	Move(alloc uint32)
+	Probe(node uint32)
+	Follow(active bool) // a watch on the node list
+	Reload()            // the whole node list, once
+	Wake(delay float64, key uint64)
+	Log(line string)
+}
+
+// Told is all that the module hears.
+type Told interface {
+	ListBegin(now float64, kind ListKind)
+	ListNode(now float64, node uint32, avail Availability, since, freeCores, freeMemory float64, zone, cell, kind int)
+	ListEnd(now float64)
+	Allocate(now float64, alloc uint32, jobType, tenant int, expiry float64, service uint64, cores, memory float64)
+	Found(now float64, alloc uint32, jobType, tenant int, service uint64, cores, memory float64, node uint32)
+	Started(now float64, alloc uint32, try uint8, took float64)
+	Settled(now float64, alloc uint32, node uint32, try uint8, took float64, over bool, why Reason, verdict Verdict,
+		report []float64)
+	Noted(now float64, alloc uint32, try uint8, node uint32, kind NoteKind, value float64)
+	Lapsed(now float64, alloc uint32)
+	Probed(now float64, node uint32, verdict Verdict, took float64, report []float64)
+	Woken(now float64, key uint64)
+	Decide(now float64)
+}
+
+// Cluster is what is known of a deployment at start.
+type Cluster struct {
+	Schedulers   int
+	AsksForList  bool    // the node list answers only when asked
+	AskEvery     float64 // unheard for so long, an asking scheduler counts as told
+	AnswerSlack  float64
+	Step         float64 // the least time between two rounds
+	MaxTries     int
+	MayRecall    bool
+	MayProbe     bool
+	JobTypes     []JobType
+	KindCores    []float64 // by machine kind
+	KindMemory   []float64
+	CoresLimit   float64 // a node accepts until asked for so many times its cores
+	MemoryLimit  float64
+	ListsFree    bool // list entries carry what nobody has asked for
+	CountsUse    bool // reports subtract use, not asks
+	Report       []string
+	ReportsCome  bool // inside answers, not only in probes
+	ColdBears    float64
+	ColdFor      float64
+	FallWindow   float64
+	TenantCores  []float64 // the share of each tenant, in cores over all schedulers
+	OverShare    float64   // what work beyond a share is worth
+	Displaces    bool      // nodes push out lower priorities
+	MeanCores    float64   // of an allocation of size 1
+	MeanMemory   float64
+	RefusedPrice float64
+}
+
+// JobType is one kind of work.
+type JobType struct {
+	Effect    Effect
+	Group     Group
+	Window    float64 // how long a tokened type's group remembers, from the first doubtful try
+	Target    float64 // target delay
+	Value     float64 // of one second of an allocation of mean size
+	StartFor  float64 // seconds of service that a start in time is worth
+	LateWorth float64
+	Priority  int
+	Kind      int // machine kind that it needs, or -1
+	Spread    Place
+	Most      int // allocations of a service in one such place
+}
+
+type Effect uint8
+
+const (
+	Restartable Effect = iota
+	Tokened
+	RunOnce
+)
+
+type Group uint8
+
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+type Place uint8
+
+const (
+	Anywhere Place = iota
+	PerNode
+	PerCell
+	PerZone
+)
+
+type ListKind uint8
+
+const (
+	ListFull ListKind = iota
+	ListCached
+	ListChanges
+	ListFailed
+)
+
+type Availability uint8
+
+const (
+	Gone Availability = iota
+	Ready
+	Draining
+)
+
+type Verdict uint8
+
+const (
+	Ended Verdict = iota
+	Errored
+	Refused
+	TimedOut
+	Unreached
+	Broken
+	CalledOff
+	Unsent
+)
+
+type Reason uint8
+
+const (
+	NotTold Reason = iota
+	NoCores
+	NoMemory
+	LongLine
+	NotHere
+	Evicted
+	PushedOut
+	SentAway
+)
+
+type NoteKind uint8
+
+const (
+	Runs NoteKind = iota + 1
+	CoresUsed
+	MemoryUsed
+	ServedShare
+	NodeMemory
+)
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,999 @@
+// Package logic decides where allocations go. It is told what happens by the methods of Told and acts
+// through Host, both in iface.go; the caller ends each round of calls with Decide. It keeps no clock and does
+// no I/O, and from the same calls and seed it decides the same.
+//
+// The design (docs/design.md) decides the ordinary path: filters, net benefit, a uniform draw among the best.
+// Beside it stand these mechanisms:
+//  1. health: a node is judged by its last few outcomes and by silence; an ill one is probed, not used
+//  2. patience: a try's time-out follows the start times seen for the job type
+//  3. waiting: an allocation without room waits, the most valuable first, until shortly before its expiry
+//  4. pacing: a recent node gets this scheduler's share of what a cold node bears
+//  5. probing: one probe an allocation at most, the oldest report first
+package logic
+
+import (
+	"fmt"
+	"math"
+	"sort"
+)
+
+// Tuned values. Times are milliseconds.
+const (
+	drawK       = 3    // machines in the draw, the design's start
+	gPlain      = 0.02 // weight of diversity beside a usage of 0 to 1
+	gHeld       = 0.1  // the same where the machine holds the service's program, so that it starts at once
+	lineShare   = 0.05 // usage that an unanswered own offer stands for: starts queue behind it
+	reportLag   = 500  // a report was measured about so long before it arrives
+	listLag     = 2500 // and a list entry
+	keepActs    = 8000 // own binds and ends are remembered so long, beyond any lag
+	tickEvery   = 100  // housekeeping
+	scanEvery   = 20   // how often those that wait are looked at again
+	leastWait   = 1200 // no try is given up sooner
+	hopeless    = 60   // no try starts with less time left
+	probeAge    = 400  // a younger report needs no probe
+	illProbe    = 1000 // between two probes of an ill node
+	lineRest    = 250  // a node whose line is too long rests
+	outcomes    = 4    // last outcomes that judge a node
+	illBelow    = 3    // fewer successes among them and it is ill
+	followFirst = 300  // first watch, spread over so long
+	followAgain = 1500 // after a failed call, growing to four times that
+	noRoom      = 1e-6
+)
+
+// keys of timers; an allocation's expiry uses its id above them.
+const (
+	keyTick = iota
+	keyScan
+	keyAlloc = 1 << 32
+)
+
+type verdictOf uint8
+
+const (
+	pass verdictOf = iota // on to the next stage
+	keep                  // the stage holds the allocation
+	end                   // give it its final answer
+)
+
+// stage is a link of the chain: forward on the way to a node, back with what came of the try.
+type stage struct {
+	forward func(*Scheduler, *alloc) verdictOf
+	back    func(*Scheduler, *alloc, *node, Verdict, Reason, float64)
+}
+
+// chain in the order of the forward way.
+var chain = [...]stage{
+	{(*Scheduler).owed, (*Scheduler).owedBack},
+	{(*Scheduler).licence, (*Scheduler).licenceBack},
+	{(*Scheduler).choice, (*Scheduler).choiceBack},
+	{(*Scheduler).offer, (*Scheduler).offerBack},
+}
+
+type alloc struct {
+	id            uint32
+	job, tenant   int
+	svc           int
+	cores, memory float64
+	expiry        float64
+	arrival       uint64
+	tries         int
+	nd            int     // of the try that is out, or where it is placed
+	sentAt        float64 // of that try
+	out           bool    // a try without an outcome, placed ones included
+	placed        bool
+	over          bool // has its final answer
+	doubt         bool // an earlier try may have run
+	doubtAt       float64
+	doubtNd       int
+	tried         [4]int // nodes that failed it, by index + 1
+	use           [2]float64
+}
+
+// change is a bind (+) or an end (-) of this scheduler's on a node.
+type change struct{ at, cores, memory float64 }
+
+type node struct {
+	id               uint32
+	zone, cell, kind int
+	cores, memory    float64
+	avail            Availability
+	page             int // the list that last named it
+	since            float64
+	recentUntil      float64 // just started or returned: ranks average, paced
+	heard            float64 // last word of any kind
+	offers           []float64
+	free             [2]float64 // cores, memory not asked for, as measured
+	measured         float64
+	known            bool
+	acts             []change
+	held             [2]float64 // asked by this scheduler's own
+	unanswered       []int      // allocs with a try out
+	past             [outcomes]bool
+	ill              bool
+	probing          bool
+	probedAt         float64
+	restUntil        float64
+	pressed          float64 // pressure told by notes, as usage
+	pressedAt        float64
+}
+
+type hold struct{ nd, n int }
+
+type service struct {
+	key  uint64
+	refs int
+	on   []hold
+}
+
+// job is a job type with what decisions need of it.
+type job struct {
+	JobType
+	starts bins
+}
+
+// Scheduler is the decision module of one scheduler.
+type Scheduler struct {
+	host      Host
+	rng       pcg
+	now       float64
+	born      float64
+	cl        *Cluster // only derived figures are read after New
+	jobs      []job
+	share     int // offers that this scheduler may send to a cold node within the window
+	x0, x1    int // places in a report, or -1
+	nodes     []node
+	nodeAt    map[uint32]int
+	allocs    []alloc
+	allocAt   map[uint32]int
+	freeAlloc []int
+	svcs      []service
+	svcAt     map[uint64]int
+	freeSvc   []int
+	waiting   []int
+	arrivals  uint64
+	page      int
+	listKind  ListKind
+	listAt    float64
+	callAt    float64 // when to call for the list again; 0 never
+	fails     int
+	credit    float64 // probes that own allocations have paid for
+	used      [2]float64
+	asked     [2]float64
+	scanSet   bool
+	scanAt    float64
+	short     bool
+	scores    []scored
+}
+
+type scored struct {
+	nd    int
+	score float64
+}
+
+// New starts a scheduler that knows nothing yet; its last list comes next.
+func New(host Host, now float64, seed uint64, cl *Cluster) *Scheduler {
+	s := &Scheduler{host: host, rng: pcg{seed}, now: now, born: now, cl: cl, x0: -1, x1: -1,
+		nodeAt: map[uint32]int{}, allocAt: map[uint32]int{}, svcAt: map[uint64]int{}, listAt: now}
+	s.rng.next()
+	s.share = int(cl.ColdBears / float64(max(1, cl.Schedulers)))
+	for i, name := range cl.Report {
+		switch name {
+		case "x0":
+			s.x0 = i
+		case "x1":
+			s.x1 = i
+		}
+	}
+	for _, jt := range cl.JobTypes {
+		j := job{JobType: jt}
+		j.starts.add(jt.Target)
+		s.jobs = append(s.jobs, j)
+	}
+	s.asked, s.used = [2]float64{20, 20}, [2]float64{12, 14} // a weak first guess of use
+	if cl.AsksForList {
+		s.callAt = now + s.rng.float()*followFirst
+	}
+	host.Wake(tickEvery*s.rng.float(), keyTick)
+	return s
+}
+
+// ---- the node list
+
+func (s *Scheduler) ListBegin(now float64, kind ListKind) {
+	s.now, s.listKind = now, kind
+	s.page++
+}
+
+func (s *Scheduler) ListNode(now float64, id uint32, avail Availability, since, freeCores, freeMemory float64,
+	zone, cell, kind int) {
+	i, ok := s.nodeAt[id]
+	if !ok {
+		i = len(s.nodes)
+		s.nodeAt[id] = i
+		s.nodes = append(s.nodes, node{id: id, avail: Gone, heard: -1})
+	}
+	nd := &s.nodes[i]
+	fresh := !ok && s.listKind != ListCached || nd.avail == Gone && ok || since > nd.since && ok
+	nd.page, nd.zone, nd.cell, nd.kind = s.page, zone, cell, kind
+	if kind < len(s.cl.KindCores) {
+		nd.cores, nd.memory = s.cl.KindCores[kind], s.cl.KindMemory[kind]
+	}
+	if avail == Ready && (fresh || nd.avail != Ready) {
+		s.enter(nd, since, fresh)
+	}
+	nd.avail, nd.since = avail, since
+	if s.cl.ListsFree && avail == Ready && s.listKind != ListCached {
+		s.measure(nd, freeCores, freeMemory, now-listLag)
+	}
+}
+
+// enter takes a node into use. One that just started or came back is recent for as long as it may be cold.
+func (s *Scheduler) enter(nd *node, since float64, fresh bool) {
+	for i := range nd.past {
+		nd.past[i] = true
+	}
+	nd.ill, nd.restUntil = false, 0
+	nd.recentUntil = max(nd.recentUntil, since+s.cl.ColdFor)
+	if fresh {
+		nd.known, nd.measured, nd.heard = false, 0, -1
+		nd.acts = nd.acts[:0]
+		nd.recentUntil = max(nd.recentUntil, s.now+s.cl.ColdFor)
+	}
+}
+
+func (s *Scheduler) ListEnd(now float64) {
+	if s.listKind == ListFailed {
+		s.fails++
+		if s.cl.AsksForList {
+			s.callAt = now + followAgain*float64(min(s.fails, 4))*(0.5+s.rng.float())
+		}
+		if s.fails == 1 {
+			s.host.Log(fmt.Sprintf("list: call failed, %.1f s after the last news", (now-s.listAt)/1000))
+		}
+		return
+	}
+	if s.listKind != ListCached {
+		if s.fails > 0 {
+			s.host.Log(fmt.Sprintf("list: back after %d failed calls, %.1f s", s.fails, (now-s.listAt)/1000))
+		}
+		s.fails, s.listAt = 0, now
+		if s.cl.AsksForList {
+			s.callAt = now + s.cl.AskEvery*0.7 // silence on a watch: ask again well before it counts as told
+		}
+	}
+	if s.listKind != ListChanges {
+		for i := range s.nodes {
+			if s.nodes[i].page != s.page {
+				s.nodes[i].avail = Gone
+			}
+		}
+	}
+}
+
+// measure takes a report of what nobody has asked for, measured at the given time.
+func (s *Scheduler) measure(nd *node, freeCores, freeMemory, at float64) {
+	if at < nd.measured {
+		return
+	}
+	nd.free, nd.measured, nd.known = [2]float64{freeCores, freeMemory}, at, true
+}
+
+func (s *Scheduler) report(nd *node, report []float64) {
+	if s.x0 < 0 || s.x1 < 0 || s.x0 >= len(report) || s.x1 >= len(report) {
+		return
+	}
+	c, m := report[s.x0], report[s.x1]
+	if s.cl.CountsUse { // what is in use tells what was asked, by the usual use
+		c = nd.cores - (nd.cores-c)/s.usual(0)
+		m = nd.memory - (nd.memory-m)/s.usual(1)
+	}
+	s.measure(nd, c, m, s.now-reportLag)
+}
+
+// usual is the part of what they ask that own tasks use.
+func (s *Scheduler) usual(i int) float64 { return s.used[i] / s.asked[i] }
+
+// taken is what is asked of a node: the last report and own binds and ends since it was measured, or own
+// binds alone.
+func (s *Scheduler) taken(nd *node) (cores, memory float64) {
+	if !nd.known {
+		return nd.held[0], nd.held[1]
+	}
+	cores, memory = nd.cores-nd.free[0], nd.memory-nd.free[1]
+	for _, c := range nd.acts {
+		if c.at > nd.measured {
+			cores += c.cores
+			memory += c.memory
+		}
+	}
+	return max(cores, nd.held[0]), max(memory, nd.held[1])
+}
+
+// ---- allocations in
+
+func (s *Scheduler) take(id uint32, jobType, tenant int, svcKey uint64, cores, memory float64) int {
+	v, ok := s.svcAt[svcKey]
+	if !ok {
+		v, s.freeSvc, s.svcs = slot(s.freeSvc, s.svcs)
+		s.svcs[v] = service{key: svcKey, on: s.svcs[v].on[:0]}
+		s.svcAt[svcKey] = v
+	}
+	s.svcs[v].refs++
+	var i int
+	i, s.freeAlloc, s.allocs = slot(s.freeAlloc, s.allocs)
+	s.arrivals++
+	s.allocs[i] = alloc{id: id, job: jobType, tenant: tenant, svc: v, cores: cores, memory: memory,
+		arrival: s.arrivals, nd: -1, doubtNd: -1}
+	s.allocAt[id] = i
+	return i
+}
+
+// slot takes a place off the free list or adds one.
+func slot[T any](free []int, all []T) (int, []int, []T) {
+	if n := len(free); n > 0 {
+		return free[n-1], free[:n-1], all
+	}
+	var zero T
+	return len(all), free, append(all, zero)
+}
+
+// drop forgets an allocation that is answered and has no try out.
+func (s *Scheduler) drop(i int) {
+	a := &s.allocs[i]
+	if a.out || !a.over {
+		return
+	}
+	delete(s.allocAt, a.id)
+	if v := &s.svcs[a.svc]; v.refs == 1 {
+		delete(s.svcAt, v.key)
+		s.freeSvc = append(s.freeSvc, a.svc)
+	} else {
+		v.refs--
+	}
+	s.freeAlloc = append(s.freeAlloc, i)
+}
+
+func (s *Scheduler) Allocate(now float64, id uint32, jobType, tenant int, expiry float64, svcKey uint64,
+	cores, memory float64) {
+	s.now = now
+	i := s.take(id, jobType, tenant, svcKey, cores, memory)
+	s.allocs[i].expiry = expiry - 2*s.cl.Step // the answer is there before the owner's time is up
+	s.waiting = append(s.waiting, i)
+	s.host.Wake(s.allocs[i].expiry-now, keyAlloc+uint64(id))
+	s.credit = min(s.credit+1, float64(len(s.nodes)))
+	s.scanAt = now
+}
+
+func (s *Scheduler) Found(now float64, id uint32, jobType, tenant int, svcKey uint64, cores, memory float64,
+	nodeID uint32) {
+	s.now = now
+	n, ok := s.nodeAt[nodeID]
+	if !ok {
+		return
+	}
+	i := s.take(id, jobType, tenant, svcKey, cores, memory)
+	a := &s.allocs[i]
+	a.tries, a.out, a.placed, a.over, a.nd, a.sentAt = 1, true, true, true, n, now
+	s.place(a, 1)
+}
+
+// place counts an allocation in (+1) or out (-1) of its node and of its service's machines.
+func (s *Scheduler) place(a *alloc, by int) {
+	nd := &s.nodes[a.nd]
+	nd.held[0] += float64(by) * a.cores
+	nd.held[1] += float64(by) * a.memory
+	v := &s.svcs[a.svc]
+	for h := range v.on {
+		if v.on[h].nd == a.nd {
+			if v.on[h].n += by; v.on[h].n == 0 {
+				v.on = append(v.on[:h], v.on[h+1:]...)
+			}
+			return
+		}
+	}
+	v.on = append(v.on, hold{a.nd, by})
+}
+
+// ---- the chain
+
+// Decide sends what waits along the chain, the most valuable first.
+func (s *Scheduler) Decide(now float64) {
+	s.now = now
+	if len(s.waiting) == 0 || now < s.scanAt {
+		return
+	}
+	sort.SliceStable(s.waiting, func(x, y int) bool {
+		a, b := &s.allocs[s.waiting[x]], &s.allocs[s.waiting[y]]
+		if va, vb := s.worth(a), s.worth(b); va != vb {
+			return va > vb
+		}
+		return a.arrival < b.arrival
+	})
+	left := s.waiting[:0]
+	for _, i := range s.waiting {
+		a := &s.allocs[i]
+		if a.over {
+			s.drop(i)
+			continue
+		}
+		if s.run(a) == keep {
+			left = append(left, i)
+		} else {
+			s.drop(i)
+		}
+	}
+	s.waiting = left
+	s.scanAt = now + scanEvery
+	if len(left) > 0 && !s.scanSet {
+		s.scanSet = true
+		s.host.Wake(scanEvery, keyScan)
+	}
+	if short := len(left) > 2*len(s.jobs); short != s.short && (short || len(left) == 0) {
+		s.short = short
+		s.host.Log(fmt.Sprintf("room: short=%t, %d wait", short, len(left)))
+	}
+}
+
+func (s *Scheduler) run(a *alloc) verdictOf {
+	for i := range chain {
+		switch chain[i].forward(s, a) {
+		case keep:
+			return keep
+		case end:
+			s.answer(a)
+			return end
+		}
+	}
+	return pass
+}
+
+// worth orders those that wait: value of a second at equal size.
+func (s *Scheduler) worth(a *alloc) float64 { return s.jobs[a.job].Value }
+
+// owed ends an allocation that no try can serve any more.
+func (s *Scheduler) owed(a *alloc) verdictOf {
+	if a.expiry-s.now < hopeless {
+		return end
+	}
+	return pass
+}
+
+// owedBack: an allocation that came back without being placed goes on or gets its answer at once.
+func (s *Scheduler) owedBack(a *alloc, _ *node, _ Verdict, _ Reason, _ float64) {
+	if a.over {
+		return
+	}
+	if s.licence(a) == end {
+		s.answer(a)
+		return
+	}
+	s.waiting = append(s.waiting, s.allocAt[a.id])
+	s.scanAt = s.now
+}
+
+// answer gives the final answer: declined where trying again does no harm, else failed.
+func (s *Scheduler) answer(a *alloc) {
+	j := &s.jobs[a.job]
+	switch {
+	case !a.doubt && !a.out, j.Effect == Restartable, j.Effect == Tokened && j.Group == GroupAll && !a.out:
+		s.host.Decline(a.id, 0)
+	default:
+		s.host.Fail(a.id)
+	}
+	a.over = true
+}
+
+// licence says whether the job type allows another try.
+func (s *Scheduler) licence(a *alloc) verdictOf {
+	j := &s.jobs[a.job]
+	if a.out || a.tries >= s.cl.MaxTries {
+		return end
+	}
+	if a.doubt && (j.Effect == RunOnce || j.Effect == Tokened && s.now >= a.doubtAt+j.Window-s.cl.Step) {
+		return end
+	}
+	return pass
+}
+
+// licenceBack notes a try that may have run. Only three outcomes prove that it never did.
+func (s *Scheduler) licenceBack(a *alloc, _ *node, v Verdict, _ Reason, _ float64) {
+	if v == Refused || v == Unreached || v == Unsent {
+		return
+	}
+	if !a.doubt {
+		a.doubt, a.doubtAt, a.doubtNd = true, a.sentAt, a.nd
+	}
+}
+
+// choice draws the node: the design's filters, net benefit, and a uniform draw among the best.
+func (s *Scheduler) choice(a *alloc) verdictOf {
+	s.scores = s.scores[:0]
+	healthy := false
+	mean, known := 0.0, 0
+	for i := range s.nodes {
+		nd := &s.nodes[i]
+		if nd.avail != Ready {
+			continue
+		}
+		if nd.known {
+			mean += s.usage(nd, nil)
+			known++
+		}
+		if s.admits(a, i, nd) {
+			s.scores = append(s.scores, scored{nd: i})
+			healthy = healthy || !nd.ill
+		}
+	}
+	if known > 0 {
+		mean /= float64(known)
+	}
+	kept := s.scores[:0]
+	for _, c := range s.scores {
+		if healthy && s.nodes[c.nd].ill { // never all of them on health alone
+			continue
+		}
+		c.score = s.benefit(a, c.nd, mean)
+		kept = append(kept, c)
+	}
+	s.scores = kept
+	if len(kept) == 0 {
+		return keep
+	}
+	k := min(drawK, len(kept))
+	for i := range k { // the k best to the front, ties in the order of the list
+		best := i
+		for x := i + 1; x < len(kept); x++ {
+			if kept[x].score > kept[best].score {
+				best = x
+			}
+		}
+		kept[i], kept[best] = kept[best], kept[i]
+	}
+	a.nd = kept[s.rng.below(k)].nd
+	return pass
+}
+
+// admits holds the design's filters and the guards that the rules need at each send.
+func (s *Scheduler) admits(a *alloc, i int, nd *node) bool {
+	j := &s.jobs[a.job]
+	if j.Kind >= 0 && nd.kind != j.Kind || s.now < nd.restUntil {
+		return false
+	}
+	for _, t := range a.tried {
+		if t == i+1 {
+			return false
+		}
+	}
+	if a.doubt && j.Effect == Tokened {
+		d := &s.nodes[a.doubtNd]
+		if j.Group == GroupZone && d.zone != nd.zone || j.Group == GroupCell && d.cell != nd.cell {
+			return false
+		}
+	}
+	if j.Spread != Anywhere {
+		together := 0
+		for _, h := range s.svcs[a.svc].on {
+			if s.distance(&s.nodes[h.nd], nd, h.nd == i) <= [...]int{0, 0, 1, 3}[j.Spread] {
+				together += h.n
+			}
+		}
+		if together >= j.Most {
+			return false
+		}
+	}
+	if s.now < nd.recentUntil || nd.heard < 0 {
+		if s.now < s.born+s.cl.FallWindow+reportLag && s.now < nd.recentUntil {
+			return false // what was sent before a restart is forgotten but still counts
+		}
+		sent := 0
+		for _, t := range nd.offers {
+			if t > s.now-s.cl.FallWindow-reportLag {
+				sent++
+			}
+		}
+		if sent >= s.share {
+			return false
+		}
+	}
+	if !nd.known {
+		return true
+	}
+	c, m := s.taken(nd)
+	return c+a.cores <= nd.cores*s.cl.CoresLimit+noRoom && m+a.memory <= nd.memory*s.cl.MemoryLimit+noRoom
+}
+
+// distance is the document's diversity over zone, cell and machine.
+func (s *Scheduler) distance(x, y *node, same bool) int {
+	switch {
+	case same:
+		return 0
+	case x.zone != y.zone:
+		return 7
+	case x.cell != y.cell:
+		return 3
+	}
+	return 1
+}
+
+// benefit is the design's net benefit of a node for an allocation.
+func (s *Scheduler) benefit(a *alloc, i int, mean float64) float64 {
+	nd := &s.nodes[i]
+	on := s.svcs[a.svc].on
+	g, sum := gPlain, 0.0
+	for _, h := range on {
+		if h.nd == i {
+			g = gHeld
+		}
+		sum += float64(s.distance(&s.nodes[h.nd], nd, h.nd == i))
+	}
+	if len(on) > 0 {
+		sum /= float64(len(on))
+	}
+	rent := mean
+	if nd.known && s.now >= nd.recentUntil {
+		rent = s.usage(nd, a)
+	}
+	return g*sum - rent
+}
+
+// usage is the larger share of cores or memory in use, by what own tasks use of what they ask, with the line
+// of own unanswered offers.
+func (s *Scheduler) usage(nd *node, a *alloc) float64 {
+	c, m := s.taken(nd)
+	if a != nil {
+		c, m = c+a.cores, m+a.memory
+	}
+	u := max(s.usual(0)*c/nd.cores, s.usual(1)*m/nd.memory)
+	if s.now-nd.pressedAt < 2000 {
+		u = max(u, nd.pressed)
+	}
+	return u + lineShare*float64(len(nd.unanswered))
+}
+
+// offer sends the try.
+func (s *Scheduler) offer(a *alloc) verdictOf {
+	nd := &s.nodes[a.nd]
+	left := a.expiry - s.now
+	wait := left
+	if s.jobs[a.job].Effect != RunOnce && a.tries+1 < s.cl.MaxTries {
+		if p := max(leastWait, 2*s.jobs[a.job].starts.quantile(0.95)); p+leastWait/2 < left {
+			wait = p
+		}
+	}
+	a.tries++
+	a.out, a.sentAt = true, s.now
+	s.place(a, 1)
+	s.act(nd, s.now, a.cores, a.memory)
+	nd.unanswered = append(nd.unanswered, s.allocAt[a.id])
+	if s.now < nd.recentUntil || nd.heard < 0 {
+		nd.offers = append(nd.offers, s.now)
+	}
+	s.host.Offer(a.id, nd.id, wait)
+	return pass
+}
+
+func (s *Scheduler) act(nd *node, at, cores, memory float64) {
+	kept := nd.acts[:0]
+	for _, c := range nd.acts {
+		if c.at > s.now-keepActs {
+			kept = append(kept, c)
+		}
+	}
+	nd.acts = append(kept, change{at, cores, memory})
+}
+
+// offerBack takes the try off its node's counts.
+func (s *Scheduler) offerBack(a *alloc, nd *node, v Verdict, _ Reason, _ float64) {
+	s.place(a, -1)
+	a.out = false
+	s.heardOf(a, nd)
+	switch {
+	case v == Refused || v == Unreached || v == Unsent:
+		s.act(nd, a.sentAt, -a.cores, -a.memory) // as if never sent
+	case a.placed:
+		s.act(nd, s.now, -a.cores, -a.memory)
+	}
+}
+
+// heardOf strikes a try from its node's unanswered ones.
+func (s *Scheduler) heardOf(a *alloc, nd *node) {
+	for x, i := range nd.unanswered {
+		if s.allocs[i].id == a.id {
+			nd.unanswered = append(nd.unanswered[:x], nd.unanswered[x+1:]...)
+			return
+		}
+	}
+}
+
+// choiceBack learns of the node from the outcome.
+func (s *Scheduler) choiceBack(a *alloc, nd *node, v Verdict, why Reason, _ float64) {
+	if a.placed {
+		return
+	}
+	switch v {
+	case Refused:
+		s.judge(nd, true)
+		nd.heard = s.now
+		switch why {
+		case NoCores, NoMemory: // it has less than thought: believe it until the next report
+			s.believe(nd, a, why)
+		case LongLine:
+			nd.restUntil = s.now + lineRest
+		case NotHere:
+			s.failed(a)
+		}
+	case Unreached:
+		s.judge(nd, false)
+		s.judge(nd, false)
+		s.failed(a)
+	case TimedOut, Errored, Broken:
+		s.judge(nd, false)
+		s.failed(a)
+	}
+}
+
+// believe lowers what is known of a node's room to just under what it refused.
+func (s *Scheduler) believe(nd *node, a *alloc, why Reason) {
+	c, m := s.taken(nd)
+	if !nd.known {
+		nd.known, nd.free = true, [2]float64{nd.cores - c, nd.memory - m}
+	}
+	if gap := nd.cores*s.cl.CoresLimit - c - a.cores; why == NoCores && gap >= 0 {
+		nd.free[0] -= gap + 0.01*nd.cores
+	}
+	if gap := nd.memory*s.cl.MemoryLimit - m - a.memory; why == NoMemory && gap >= 0 {
+		nd.free[1] -= gap + 0.01*nd.memory
+	}
+}
+
+func (s *Scheduler) failed(a *alloc) {
+	for x := range a.tried {
+		if a.tried[x] == 0 {
+			a.tried[x] = a.nd + 1
+			return
+		}
+	}
+}
+
+// judge adds an outcome to a node's last few.
+func (s *Scheduler) judge(nd *node, ok bool) {
+	copy(nd.past[1:], nd.past[:outcomes-1])
+	nd.past[0] = ok
+	good := 0
+	for _, o := range nd.past {
+		if o {
+			good++
+		}
+	}
+	if ill := good < illBelow; ill != nd.ill {
+		nd.ill, nd.probedAt = ill, s.now
+		s.host.Log(fmt.Sprintf("node %d: ill=%t, %d of %d outcomes good", nd.id, ill, good, outcomes))
+	}
+}
+
+// ---- news of tries
+
+func (s *Scheduler) Started(now float64, id uint32, try uint8, took float64) {
+	s.now = now
+	i, ok := s.allocAt[id]
+	if !ok {
+		return
+	}
+	a := &s.allocs[i]
+	nd := &s.nodes[a.nd]
+	s.heardOf(a, nd)
+	a.placed, a.over = true, true
+	nd.heard = now
+	s.judge(nd, true)
+	s.jobs[a.job].starts.add(took)
+}
+
+func (s *Scheduler) Settled(now float64, id uint32, nodeID uint32, try uint8, took float64, over bool, why Reason,
+	verdict Verdict, report []float64) {
+	s.now = now
+	if n, ok := s.nodeAt[nodeID]; ok {
+		s.report(&s.nodes[n], report)
+	}
+	i, ok := s.allocAt[id]
+	if !ok {
+		return
+	}
+	a := &s.allocs[i]
+	if !a.out || int(try) != a.tries-1 {
+		return
+	}
+	a.over = a.over || over
+	nd := &s.nodes[a.nd]
+	for x := len(chain) - 1; x >= 0; x-- {
+		chain[x].back(s, a, nd, verdict, why, took)
+	}
+	if a.over {
+		s.drop(i)
+	}
+	if len(s.waiting) > 0 {
+		s.scanAt = min(s.scanAt, now+scanEvery/4)
+	}
+}
+
+// Noted learns what own tasks use and where they are pressed.
+func (s *Scheduler) Noted(now float64, id uint32, _ uint8, nodeID uint32, kind NoteKind, value float64) {
+	s.now = now
+	i, ok := s.allocAt[id]
+	n, known := s.nodeAt[nodeID]
+	if !ok || !known {
+		return
+	}
+	a, nd := &s.allocs[i], &s.nodes[n]
+	switch kind {
+	case CoresUsed, MemoryUsed:
+		x, asked := int(kind-CoresUsed), a.cores
+		if kind == MemoryUsed {
+			asked = a.memory
+		}
+		s.used[x] = s.used[x]*0.998 + value
+		s.asked[x] = s.asked[x]*0.998 + asked
+	case ServedShare:
+		nd.pressed, nd.pressedAt = 2-value, now
+	case NodeMemory:
+		nd.pressed, nd.pressedAt = value, now
+	}
+}
+
+func (s *Scheduler) Lapsed(now float64, id uint32) {
+	s.now = now
+	if i, ok := s.allocAt[id]; ok {
+		s.allocs[i].over = true // a waiting one is dropped at the next scan
+		s.scanAt = now
+	}
+}
+
+func (s *Scheduler) Probed(now float64, nodeID uint32, verdict Verdict, took float64, report []float64) {
+	s.now = now
+	n, ok := s.nodeAt[nodeID]
+	if !ok {
+		return
+	}
+	nd := &s.nodes[n]
+	nd.probing = false
+	if verdict != Ended {
+		s.judge(nd, false)
+		return
+	}
+	nd.heard = now
+	s.report(nd, report)
+	if nd.ill {
+		s.judge(nd, true)
+	}
+}
+
+// ---- time
+
+func (s *Scheduler) Woken(now float64, key uint64) {
+	s.now = now
+	switch key {
+	case keyTick:
+		s.tick()
+		s.host.Wake(tickEvery, keyTick)
+	case keyScan:
+		s.scanSet = false
+	default:
+		if i, ok := s.allocAt[uint32(key-keyAlloc)]; ok && !s.allocs[i].over {
+			a := &s.allocs[i]
+			if a.out && s.cl.MayRecall {
+				s.host.Recall(a.id, uint8(a.tries-1))
+			}
+			s.answer(a)
+			s.scanAt = now
+		}
+	}
+}
+
+// tick watches for silence, probes and asks for the list.
+func (s *Scheduler) tick() {
+	oldest := -1
+	for i := range s.nodes {
+		nd := &s.nodes[i]
+		if nd.avail != Ready {
+			continue
+		}
+		if len(nd.unanswered) > 0 && !nd.ill {
+			first := &s.allocs[nd.unanswered[0]]
+			quiet := s.now - max(first.sentAt, nd.heard)
+			if quiet > max(leastWait, s.jobs[first.job].starts.quantile(0.95)) && !nd.probing &&
+				s.now-nd.probedAt > illProbe {
+				s.judge(nd, false)
+				s.probe(nd)
+			}
+		}
+		if nd.ill && s.now-nd.probedAt > illProbe {
+			if s.cl.MayProbe {
+				s.probe(nd)
+			} else {
+				nd.probedAt = s.now
+				s.judge(nd, true)
+			}
+		}
+		if !nd.probing && (oldest < 0 || nd.measured < s.nodes[oldest].measured) {
+			oldest = i
+		}
+		if !s.cl.ReportsCome && !nd.known && !nd.probing && s.now-nd.probedAt > illProbe {
+			s.probe(nd)
+		}
+	}
+	for range 4 {
+		if s.cl.ReportsCome || s.credit < 1 || oldest < 0 || s.now-reportLag-s.nodes[oldest].measured < probeAge {
+			break
+		}
+		s.credit--
+		s.probe(&s.nodes[oldest])
+		oldest = -1
+		for i := range s.nodes {
+			if nd := &s.nodes[i]; nd.avail == Ready && !nd.probing &&
+				(oldest < 0 || nd.measured < s.nodes[oldest].measured) {
+				oldest = i
+			}
+		}
+	}
+	if s.callAt > 0 && s.now >= s.callAt {
+		s.callAt = s.now + 2*followAgain*(1+s.rng.float())
+		s.host.Follow(true)
+	}
+}
+
+func (s *Scheduler) probe(nd *node) {
+	if s.cl.MayProbe && !nd.probing {
+		nd.probing, nd.probedAt = true, s.now
+		s.host.Probe(nd.id)
+	}
+}
+
+// ---- measures and chance
+
+// bins counts durations in a few coarse bins, each twice as wide as the one before, halved from time to time.
+type bins struct {
+	n   [8]float64
+	sum float64
+}
+
+const firstBin = 100 // upper end of the first bin
+
+func (b *bins) add(v float64) {
+	i := 0
+	for top := float64(firstBin); v > top && i < len(b.n)-1; top *= 2 {
+		i++
+	}
+	b.n[i]++
+	if b.sum++; b.sum > 200 {
+		b.sum = 0
+		for x := range b.n {
+			b.n[x] /= 2
+			b.sum += b.n[x]
+		}
+	}
+}
+
+// quantile is the upper end of the bin in which the given part is reached.
+func (b *bins) quantile(q float64) float64 {
+	seen, top := 0.0, float64(firstBin)
+	for i := range b.n {
+		if seen += b.n[i]; seen >= q*b.sum {
+			break
+		}
+		top *= 2
+	}
+	return top
+}
+
+// pcg is a permuted congruential generator.
+type pcg struct{ state uint64 }
+
+func (p *pcg) next() uint32 {
+	old := p.state
+	p.state = old*6364136223846793005 + 1442695040888963407
+	x := uint32((old>>18 ^ old) >> 27)
+	r := uint32(old >> 59)
+	return x>>r | x<<(-r&31)
+}
+
+func (p *pcg) float() float64  { return float64(p.next()) / (1 << 32) }
+func (p *pcg) below(n int) int { return int(math.Floor(p.float() * float64(n))) }
