--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -26,6 +26,7 @@
 	sched logic.Told
 	out   *wire.Writer
 	who   uint16
+	jobs  int    // number of job types
 	round uint64 // the last batch with an event of this instance
 }
 
@@ -106,6 +107,9 @@
 		inst.round = h.round
 		h.heard = append(h.heard, inst)
 	}
+	if (code == wire.Task || code == wire.Found) && int(rec[7]) >= inst.jobs {
+		return fmt.Errorf("unknown job type %d", rec[7])
+	}
 	var err error
 	inst.guard(func() { err = h.tell(inst.sched, code, now, rec) })
 	return err
@@ -123,7 +127,7 @@
 	for int(who) >= len(h.insts) {
 		h.insts = append(h.insts, nil)
 	}
-	inst := &instance{out: h.out, who: who, round: h.round}
+	inst := &instance{out: h.out, who: who, jobs: len(cl.JobTypes), round: h.round}
 	inst.guard(func() { inst.sched = logic.New(inst, now, wire.U64(rec, 3), cl) })
 	h.insts[who] = inst
 	h.heard = append(h.heard, inst)
--- /dev/null
+++ b/cmd/simhost/main_test.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"strings"
+	"testing"
+
+	"ravenpond/internal/wire"
+)
+
+const facts = `{"instances": 1, "discovery": "push", "new-key": [1], "step-ns": 2000000,
+ "family-info": {"cores-multiple": 2, "memory-multiple": 1.5, "cpu-of-kind": [32], "mem-of-kind": [64],
+  "kind-by-class": [-1], "spread-over": ["silent"], "lists-free": true, "cold-bears": 10},
+ "policy-limits": {"max-attempts": 3, "probes": true, "cancel": true},
+ "report": {"fields": ["x0", "x1"], "how": "piggyback"},
+ "rules": {"cold-ns": 9000000000, "overload-for-ns": 2000000000},
+ "services": [{"aim-ns": 700000000, "effect": "free", "worth": 1, "group": "all"}]}`
+
+// frame builds a batch of records, each given as code and fields, and a tail.
+func frame(tail string, records ...[]byte) []byte {
+	b := make([]byte, 16)
+	for _, r := range records {
+		b = append(b, r...)
+		b = append(b, make([]byte, wire.EventSize-len(r))...)
+	}
+	b = append(b, tail...)
+	binary.BigEndian.PutUint32(b, uint32(len(b)))
+	binary.BigEndian.PutUint64(b[4:], 1e9)
+	binary.BigEndian.PutUint32(b[12:], uint32(len(records)))
+	return b
+}
+
+func record(code byte, fields ...any) []byte {
+	var b bytes.Buffer
+	b.WriteByte(code)
+	for _, f := range fields {
+		_ = binary.Write(&b, binary.BigEndian, f) // a buffer takes every write
+	}
+	return b.Bytes()
+}
+
+// entry is a ready node of 32 free cores and 64 free memory.
+func entry(node uint32) string {
+	return string(record(0, float32(64), float32(32), uint64(0), byte(1), node, float32(1), uint16(0), byte(0),
+		byte(0))[1:])
+}
+
+func TestServe(t *testing.T) {
+	tail := facts + entry(77)
+	n := uint32(len(facts))
+	create := record(wire.Create, uint16(0), uint64(5), uint32(0), n)
+	table := record(wire.Table, uint32(0), n, uint32(1))
+	sync := record(wire.Sync, uint16(0), byte(1), uint32(1), uint32(0))
+	task := record(wire.Task, uint16(0), uint32(9), byte(0), uint16(0), uint64(1), uint64(6e9), uint64(0), uint64(4),
+		float32(1), float32(2), byte(0))
+	down := record(wire.Down, uint16(0))
+	for _, c := range []struct {
+		name  string
+		in    []byte
+		binds []uint32 // nodes bound to
+		fault string
+	}{
+		{"a task is bound", frame(tail, create, table, sync, task), []uint32{77}, ""},
+		{"killed and created anew", frame(tail, create, table, sync, down, create, table, sync, task), []uint32{77}, ""},
+		{"killed with a task in hand", frame(tail, create, table, sync, task, down), nil, ""},
+		{"a number used again", frame(tail+entry(78), create, table, record(wire.Table, uint32(0),
+			n+wire.EntrySize, uint32(1)), sync, task), []uint32{78}, ""},
+		{"news of unknown things", frame(tail, create, table, sync, record(wire.Lapsed, uint16(0), uint32(1)),
+			record(wire.Echo, uint16(0), uint32(1)), record(wire.Bell, uint16(4), uint64(0))), nil, ""},
+		{"unknown code", frame(tail, record(13, uint16(0))), nil, "unknown event code 13"},
+		{"facts that do not parse", frame("{", record(wire.Create, uint16(0), uint64(5), uint32(0), uint32(1))), nil,
+			"facts do not parse"},
+		{"facts without job types", frame("{}", record(wire.Create, uint16(0), uint64(5), uint32(0), uint32(2))), nil,
+			"0 job types"},
+		{"a word out of place", frame(strings.Replace(tail, `"free", "worth`, `"tree", "worth`, 1), create), nil, "unknown word"},
+		{"list beyond the tail", frame("", table), nil, "impossible tail reference"},
+		{"list number out of range", frame(tail, record(wire.Table, uint32(16), n, uint32(1))), nil, "list number 16"},
+		{"unknown job type", frame(tail, create, table, sync, record(wire.Task, uint16(0), uint32(9), byte(7))), nil,
+			"unknown job type 7"},
+		{"cut off", frame(tail, create)[:100], nil, "truncated batch"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var out bytes.Buffer
+			err := serve(bytes.NewReader(c.in), bufio.NewWriter(&out))
+			if c.fault != "" {
+				if err == nil || !strings.Contains(err.Error(), c.fault) || strings.Contains(err.Error(), "\n") {
+					t.Errorf("error %v, want one line with %q", err, c.fault)
+				}
+				if out.Len() > 0 {
+					t.Errorf("%d bytes of a reply after bad input", out.Len())
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			var binds []uint32
+			for b := out.Bytes()[8:]; len(b) >= 24; b = b[24:] {
+				if b[0] == wire.Bind {
+					binds = append(binds, wire.U32(b, 7))
+				}
+			}
+			if len(binds) != len(c.binds) || len(binds) > 0 && binds[0] != c.binds[0] {
+				t.Errorf("binds to %v, want %v", binds, c.binds)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,100 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+)
+
+func bytesOf(t *testing.T, words string) []byte {
+	t.Helper()
+	b, err := hex.DecodeString(strings.ReplaceAll(words, " ", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+const (
+	emptyBatch = "00000010 00000001f568bf90 00000000"
+	// one bell, then a tail of three bytes
+	bellBatch = "0000004b 0000000000000007 00000001 0c 0003 000000000000004d"
+)
+
+func TestNext(t *testing.T) {
+	bell := bellBatch + strings.Repeat("00", 45) + "616263"
+	for _, c := range []struct {
+		name, in string
+		records  int
+		fault    string // part of the error, or none
+	}{
+		{"empty", emptyBatch, 0, ""},
+		{"bell", bell, 1, ""},
+		{"end", "", 0, "EOF"},
+		{"half a header", "00000010 0000", 0, "truncated batch header"},
+		{"half a body", "00000048 0000000000000007 00000001 0c00", 0, "truncated batch"},
+		{"length under the header", "0000000f 0000000000000007 00000000", 0, "impossible batch"},
+		{"more records than bytes", "00000048 0000000000000007 00000002", 0, "impossible batch"},
+		{"endless", "ffffffff 0000000000000007 00000000", 0, "impossible batch"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := NewReader(bytes.NewReader(bytesOf(t, c.in)))
+			_, n, err := r.Next()
+			if n != c.records || (err == nil) != (c.fault == "") || err != nil && !strings.Contains(err.Error(), c.fault) {
+				t.Fatalf("%d records, %v", n, err)
+			}
+			if c.fault == "EOF" && !errors.Is(err, io.EOF) {
+				t.Fatal("the end of input is not io.EOF")
+			}
+		})
+	}
+}
+
+func TestTail(t *testing.T) {
+	r := NewReader(bytes.NewReader(bytesOf(t, bellBatch+strings.Repeat("00", 45)+"616263")))
+	if _, _, err := r.Next(); err != nil {
+		t.Fatal(err)
+	}
+	if rec := r.Record(0); rec[0] != Bell || U16(rec, 1) != 3 || U64(rec, 3) != 0x4d {
+		t.Errorf("record %x", rec)
+	}
+	for _, c := range []struct {
+		name, field string
+		size        int
+		want        string
+	}{
+		{"all", "00000000 00000003", 1, "abc"}, {"part", "00000001 00000001", 1, "b"},
+		{"past the end", "00000001 00000003", 1, ""}, {"entries past the end", "00000000 00000001", EntrySize, ""},
+		{"overflow", "ffffffff ffffffff", EntrySize, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got, err := r.Tail(bytesOf(t, c.field), 0, c.size)
+			if string(got) != c.want || (err == nil) != (c.want != "") {
+				t.Errorf("%q, %v", got, err)
+			}
+		})
+	}
+}
+
+func TestWriter(t *testing.T) {
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	r := w.Action(Bind, 3)
+	Put32(r, 3, 0x5d3a91c4)
+	Put32(r, 7, 0x03124a07)
+	Put64(r, 11, 0x04c4b400)
+	w.Text(Log, 5, "hi")
+	for range 2 { // the second reply is empty
+		if err := w.Flush(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want := bytesOf(t, "00000002 0000003a 40 0003 5d3a91c4 03124a07 0000000004c4b400 0000000000"+
+		"48 0005 00000000 00000002"+strings.Repeat("00", 13)+"6869"+"00000000 00000008")
+	if !bytes.Equal(out.Bytes(), want) {
+		t.Errorf("got  %x\nwant %x", out.Bytes(), want)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -233,7 +233,9 @@
 		nd.past[i] = true
 	}
 	nd.ill, nd.restUntil = false, 0
-	nd.recentUntil = max(nd.recentUntil, since+s.cl.ColdFor)
+	if since > 0 { // 0: long ago
+		nd.recentUntil = max(nd.recentUntil, since+s.cl.ColdFor)
+	}
 	if fresh {
 		nd.known, nd.measured, nd.heard = false, 0, -1
 		nd.acts = nd.acts[:0]
@@ -861,7 +863,7 @@
 	}
 	nd.heard = now
 	s.report(nd, report)
-	if nd.ill {
+	for nd.ill { // it answers: back into use
 		s.judge(nd, true)
 	}
 }
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,314 @@
+package logic
+
+import (
+	"math"
+	"reflect"
+	"testing"
+)
+
+// Rule 2: what each job type allows after each outcome of its first try, before the start is confirmed.
+func TestAfterOutcome(t *testing.T) {
+	again, fail := "offer 1 ", "fail 1"
+	for _, c := range []struct {
+		name    string
+		jobType int
+		v       Verdict
+		want    string
+	}{
+		{"restartable error", 0, Errored, again},
+		{"restartable refused", 0, Refused, again},
+		{"restartable timeout", 0, TimedOut, again},
+		{"restartable unreached", 0, Unreached, again},
+		{"restartable broken", 0, Broken, again},
+		{"restartable recalled", 0, CalledOff, again},
+		{"restartable unsent", 0, Unsent, again},
+		{"tokened refused", 1, Refused, again},
+		{"tokened timeout", 1, TimedOut, again},
+		{"tokened broken", 1, Broken, again},
+		{"run-once ended", 2, Ended, fail},
+		{"run-once error", 2, Errored, fail},
+		{"run-once refused", 2, Refused, again},
+		{"run-once timeout", 2, TimedOut, fail},
+		{"run-once unreached", 2, Unreached, again},
+		{"run-once broken", 2, Broken, fail},
+		{"run-once recalled", 2, CalledOff, fail},
+		{"run-once unsent", 2, Unsent, again},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := start(t, cluster(), 12)
+			x.ask(1, c.jobType, 5)
+			first := x.s.nodes[x.s.nodeAt[x.b.last()]].zone
+			x.expect("offer", 1)
+			x.settle(1, 0, c.v, NoCores)
+			if c.want == fail {
+				x.expect(fail, 1)
+				x.expect("offer", 1)
+				return
+			}
+			x.expect("offer 1 ", 2)
+			second := x.s.nodes[x.s.nodeAt[x.b.last()]].zone
+			if c.jobType == 1 && c.v != Refused && second != first {
+				t.Errorf("a tokened try that may have run left its group: zone %d after %d", second, first)
+			}
+		})
+	}
+}
+
+// Rule 2: a tokened allocation that may have run is not sent again after its window.
+func TestWindow(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		after  float64
+		offers int
+	}{{"inside", 2900, 2}, {"past", 3000, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			x := start(t, cluster(), 12)
+			x.ask(1, 1, 5)
+			x.now += c.after
+			x.settle(1, 0, TimedOut, NotTold)
+			x.expect("offer", c.offers)
+			x.expect("fail", 2-c.offers)
+			x.expect("decline", 0)
+		})
+	}
+}
+
+// Rule 1: one final answer, before the expiry, with a try out, waiting, or after the last try.
+func TestFinalAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		nodes int
+		run   func(*bench)
+		want  string
+	}{
+		{"expiry with a try out", 12, func(x *bench) { x.now += 4996 }, "fail 1"},
+		{"expiry while waiting", 0, func(x *bench) { x.now += 4996 }, "decline 1"},
+		{"tries used up", 12, func(x *bench) {
+			for try := range uint8(4) {
+				x.settle(1, try, Refused, LongLine)
+			}
+		}, "decline 1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := start(t, cluster(), c.nodes)
+			x.ask(1, 2, 5)
+			c.run(x)
+			x.s.Woken(x.now, keyAlloc+1)
+			x.s.Decide(x.now)
+			offers := x.b.count("offer")
+			x.expect(c.want, 1)
+			if len(x.s.allocs) > 0 && x.s.allocs[0].out {
+				x.settle(1, 0, CalledOff, NotTold)
+			}
+			x.pass(1000)
+			x.expect("offer", offers)
+			if n := x.b.count("fail") + x.b.count("decline"); n != 1 {
+				t.Errorf("%d final answers", n)
+			}
+		})
+	}
+}
+
+// Rule 3: nothing new to a node that drains, is gone or is missing from a full list.
+func TestDrains(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		tell func(*bench)
+		want int
+	}{
+		{"ready", func(x *bench) {}, 1},
+		{"draining", func(x *bench) { x.change(10, Draining, 0) }, 0},
+		{"gone", func(x *bench) { x.change(10, Gone, 0) }, 0},
+		{"missing", func(x *bench) { x.s.ListBegin(x.now, ListFull); x.s.ListEnd(x.now) }, 0},
+		{"call failed", func(x *bench) { x.s.ListBegin(x.now, ListFailed); x.s.ListEnd(x.now) }, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := start(t, cluster(), 1)
+			c.tell(x)
+			x.ask(1, 0, 5)
+			x.expect("offer", c.want)
+		})
+	}
+}
+
+// Rule 4: a cold node gets at most this scheduler's share, refused offers counted, and none at once after a
+// restart that forgot what was sent.
+func TestColdShare(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		since float64 // before the list came
+		after float64
+		v     Verdict
+		want  int
+	}{
+		{"cold", 0, 5000, Refused, 4},
+		{"cold, starts", 0, 5000, Ended, 4},
+		{"restarted scheduler", 5000, 0, Ended, 0},
+		{"restarted, later", 5000, 2600, Ended, 4},
+		{"warm", 20000, 0, Ended, 9},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := start(t, cluster(), 0)
+			kind := ListCached
+			if c.since == 0 {
+				x.pass(c.after)
+				kind = ListChanges
+			}
+			x.s.ListBegin(x.now, kind)
+			x.node(10, Ready, x.now-c.since)
+			x.s.ListEnd(x.now)
+			x.s.nodes[0].heard = x.now
+			if c.since > 0 {
+				x.pass(c.after)
+			}
+			for id := range uint32(9) {
+				x.ask(id, 0, 5)
+				if c.v == Refused {
+					x.s.Settled(x.now, id, 10, 0, 5, false, NotHere, Refused, nil)
+					x.s.Decide(x.now)
+				}
+			}
+			x.expect("offer", c.want)
+		})
+	}
+}
+
+// Rule 5: tries out and found tasks count, settled ones no longer.
+func TestSpread(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		place Place
+		most  int
+		want  int
+	}{
+		{"machine", PerNode, 1, 7}, {"machine of two", PerNode, 2, 15}, {"cell", PerCell, 1, 3},
+		{"zone", PerZone, 1, 1}, {"anywhere", Anywhere, 1, 20},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cl := cluster()
+			cl.JobTypes[0].Spread, cl.JobTypes[0].Most = c.place, c.most
+			x := start(t, cl, 8)
+			x.s.Found(x.now, 99, 0, 0, 5, 1, 2, 10)
+			for id := range uint32(20) {
+				x.ask(id, 0, 5)
+			}
+			x.expect("offer", c.want)
+			x.s.Settled(x.now, 99, 10, 0, 9, true, Evicted, Broken, nil)
+			x.pass(100)
+			x.expect("offer", min(c.want+1, 20))
+		})
+	}
+}
+
+// The design's filters besides: kind, room for cores and memory.
+func TestRoom(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		cores, memory float64 // free, as reported
+		want          int
+	}{
+		{"empty", 40, 80, 1}, {"over its cores", -39.5, 80, 0}, {"just fits", -39, 80, 1},
+		{"over its memory", 40, -39, 0}, {"unheard", math.NaN(), 0, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := start(t, cluster(), 1)
+			if !math.IsNaN(c.cores) {
+				x.s.Probed(x.now, 10, Ended, 1, []float64{c.cores, c.memory})
+			}
+			x.ask(1, 0, 5)
+			x.expect("offer", c.want)
+		})
+	}
+}
+
+// Own binds count only since the report was measured, not since it arrived.
+func TestMeasured(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		gap  float64 // from the bind to the report's arrival
+		want float64
+	}{{"bind not in the report", reportLag / 2, 11}, {"bind in the report", reportLag * 2, 10}} {
+		t.Run(c.name, func(t *testing.T) {
+			x := start(t, cluster(), 1)
+			x.ask(1, 0, 5)
+			x.now += c.gap
+			x.s.Probed(x.now, 10, Ended, 1, []float64{30, 70})
+			if cores, _ := x.s.taken(&x.s.nodes[0]); cores != c.want {
+				t.Errorf("%v cores taken, want %v", cores, c.want)
+			}
+		})
+	}
+}
+
+// Net benefit against values worked out by hand: zones of four nodes, cells of two.
+func TestBenefit(t *testing.T) {
+	x := start(t, cluster(), 12)
+	for id := range uint32(2) { // the service runs on node 10 and on node 14, zones 0 and 1
+		x.s.Found(x.now, id, 0, 0, 5, 1, 2, 10+4*id)
+	}
+	a := &x.s.allocs[x.s.take(9, 0, 0, 5, 1, 2)]
+	for _, c := range []struct {
+		name string
+		nd   int
+		want float64
+	}{
+		{"holds it", 0, gHeld * (0 + 7) / 2}, {"same cell", 1, gPlain * (1 + 7) / 2},
+		{"same zone", 2, gPlain * (3 + 7) / 2}, {"third zone", 8, gPlain * (7 + 7) / 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := x.s.benefit(a, c.nd, 0.25); math.Abs(got-(c.want-0.25)) > 1e-9 {
+				t.Errorf("benefit %v, want %v", got, c.want-0.25)
+			}
+		})
+	}
+}
+
+// A node that fails its tries or falls silent is left out and comes back by itself; if all do, work goes on.
+func TestHealth(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		bad  uint32 // how many of four nodes fail their tries
+		want bool   // whether the first may be used
+	}{{"none ill", 0, true}, {"one ill", 1, false}, {"all ill", 4, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			x := start(t, cluster(), 4)
+			for i := range c.bad {
+				x.s.judge(&x.s.nodes[i], false)
+				x.s.judge(&x.s.nodes[i], false)
+			}
+			used := false
+			for id := range uint32(30) {
+				x.ask(id, 0, uint64(id))
+				used = used || x.b.last() == 10
+			}
+			x.expect("offer", 30)
+			if used != c.want {
+				t.Errorf("first node used: %t", used)
+			}
+			x.pass(1200)
+			x.s.Probed(x.now, 10, Ended, 1, nil)
+			if x.s.nodes[0].ill {
+				t.Error("still ill after an answered probe")
+			}
+		})
+	}
+}
+
+// The same calls and seed give the same decisions.
+func TestDeterminism(t *testing.T) {
+	var runs [2][]string
+	for r := range runs {
+		x := start(t, cluster(), 12)
+		for id := range uint32(200) {
+			x.ask(id, int(id)%3, uint64(id%7))
+			if id%3 == 0 {
+				x.settle(id, 0, TimedOut, NotTold)
+			}
+			x.pass(10)
+		}
+		runs[r] = x.b.lines
+	}
+	if !reflect.DeepEqual(runs[0], runs[1]) {
+		t.Error("two runs differ")
+	}
+}
