--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,6 +25,9 @@
 	lineShare   = 0.05 // usage that an unanswered own offer stands for: starts queue behind it
 	reportLag   = 500  // a report was measured about so long before it arrives
 	listLag     = 2500 // and a list entry
+	easyUse     = 0.85 // usage from which tasks are served worse or evicted
+	steep       = 3    // and the rent rises so much faster
+	growFor     = 8000 // memory use grows for so long after a start
 	keepActs    = 8000 // own binds and ends are remembered so long, beyond any lag
 	tickEvery   = 100  // housekeeping
 	scanEvery   = 20   // how often those that wait are looked at again
@@ -107,6 +110,7 @@
 	known            bool
 	acts             []change
 	held             [2]float64 // asked by this scheduler's own
+	own              [2]float64 // in use by them, as told or by the usual part of what they ask
 	unanswered       []int      // allocs with a try out
 	past             [outcomes]bool
 	ill              bool
@@ -382,8 +386,13 @@
 // place counts an allocation in (+1) or out (-1) of its node and of its service's machines.
 func (s *Scheduler) place(a *alloc, by int) {
 	nd := &s.nodes[a.nd]
+	if by > 0 {
+		a.use = [2]float64{a.cores * s.usual(0), a.memory * s.usual(1)}
+	}
 	nd.held[0] += float64(by) * a.cores
 	nd.held[1] += float64(by) * a.memory
+	nd.own[0] += float64(by) * a.use[0]
+	nd.own[1] += float64(by) * a.use[1]
 	v := &s.svcs[a.svc]
 	for h := range v.on {
 		if v.on[h].nd == a.nd {
@@ -642,10 +651,12 @@
 // of own unanswered offers.
 func (s *Scheduler) usage(nd *node, a *alloc) float64 {
 	c, m := s.taken(nd)
+	c, m = c-nd.held[0], m-nd.held[1] // others' asks
 	if a != nil {
 		c, m = c+a.cores, m+a.memory
 	}
-	u := max(s.usual(0)*c/nd.cores, s.usual(1)*m/nd.memory)
+	u := max((nd.own[0]+s.usual(0)*c)/nd.cores, (nd.own[1]+s.usual(1)*m)/nd.memory)
+	u += steep * max(0, u-easyUse)
 	if s.now-nd.pressedAt < 2000 {
 		u = max(u, nd.pressed)
 	}
@@ -832,6 +843,14 @@
 		if kind == MemoryUsed {
 			asked = a.memory
 		}
+		if !a.out {
+			return
+		}
+		if now-a.sentAt < growFor { // memory grows after a start
+			value = max(value, a.use[x])
+		}
+		nd.own[x] += value - a.use[x]
+		a.use[x] = value
 		s.used[x] = s.used[x]*0.998 + value
 		s.asked[x] = s.asked[x]*0.998 + asked
 	case ServedShare:
