A window of own unanswered offers for each node

Cause told from lack of room by the reason in the refusal (3, not 1 or 2). Each node now has a window of own unanswered offers, halved on a line that is too long, growing with starts. It also covers a hung node (at most a window of tries is lost). Harm: a very fast node fills more slowly at first.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,7 +24,7 @@
 	gHeld       = 0.1  // the same where the machine holds the service's program, so that it starts at once
 	lineShare   = 0.05 // usage that an unanswered own offer stands for: starts queue behind it
 	reportLag   = 500  // a report was measured about so long before it arrives
-	listLag     = 2500 // and a list entry
+	listLag     = 4000 // and a list entry
 	easyUse     = 0.85 // usage from which tasks are served worse or evicted
 	steep       = 3    // and the rent rises so much faster
 	growFor     = 8000 // memory use grows for so long after a start
@@ -35,6 +35,8 @@
 	hopeless    = 60   // no try starts with less time left
 	probeAge    = 400  // a younger report needs no probe
 	illProbe    = 1000 // between two probes of an ill node
+	firstWindow = 6    // own offers unanswered at a node at once, halved when its line is too long
+	mostWindow  = 16   // and growing by one for so many starts
 	lineRest    = 250  // a node whose line is too long rests
 	outcomes    = 4    // last outcomes that judge a node
 	illBelow    = 3    // fewer successes among them and it is ill
@@ -117,6 +119,7 @@
 	probing          bool
 	probedAt         float64
 	restUntil        float64
+	window           float64 // own offers that may be unanswered there at once
 	pressed          float64 // pressure told by notes, as usage
 	pressedAt        float64
 }
@@ -236,7 +239,7 @@
 	for i := range nd.past {
 		nd.past[i] = true
 	}
-	nd.ill, nd.restUntil = false, 0
+	nd.ill, nd.restUntil, nd.window = false, 0, firstWindow
 	if since > 0 { // 0: long ago
 		nd.recentUntil = max(nd.recentUntil, since+s.cl.ColdFor)
 	}
@@ -567,7 +570,7 @@
 // admits holds the design's filters and the guards that the rules need at each send.
 func (s *Scheduler) admits(a *alloc, i int, nd *node) bool {
 	j := &s.jobs[a.job]
-	if j.Kind >= 0 && nd.kind != j.Kind || s.now < nd.restUntil {
+	if j.Kind >= 0 && nd.kind != j.Kind || s.now < nd.restUntil || float64(len(nd.unanswered)) >= nd.window {
 		return false
 	}
 	for _, t := range a.tried {
@@ -731,7 +734,7 @@
 		case NoCores, NoMemory: // it has less than thought: believe it until the next report
 			s.believe(nd, a, why)
 		case LongLine:
-			nd.restUntil = s.now + lineRest
+			nd.restUntil, nd.window = s.now+lineRest, max(1, nd.window/2)
 		case NotHere:
 			s.failed(a)
 		}
@@ -745,18 +748,17 @@
 	}
 }
 
-// believe lowers what is known of a node's room to just under what it refused.
+// believe takes a refusal as the freshest report there is: just under what was asked is free. Reports measured
+// before it are older news. It guards against sending try after try where late reports still show room; it
+// could hold a small scheduler off a node that has just emptied, for one report.
 func (s *Scheduler) believe(nd *node, a *alloc, why Reason) {
 	c, m := s.taken(nd)
-	if !nd.known {
-		nd.known, nd.free = true, [2]float64{nd.cores - c, nd.memory - m}
-	}
-	if gap := nd.cores*s.cl.CoresLimit - c - a.cores; why == NoCores && gap >= 0 {
-		nd.free[0] -= gap + 0.01*nd.cores
-	}
-	if gap := nd.memory*s.cl.MemoryLimit - m - a.memory; why == NoMemory && gap >= 0 {
-		nd.free[1] -= gap + 0.01*nd.memory
+	if why == NoCores {
+		c = max(c, nd.cores*s.cl.CoresLimit-a.cores*0.99)
+	} else {
+		m = max(m, nd.memory*s.cl.MemoryLimit-a.memory*0.99)
 	}
+	nd.free, nd.measured, nd.known = [2]float64{nd.cores - c, nd.memory - m}, s.now, true
 }
 
 func (s *Scheduler) failed(a *alloc) {
@@ -795,6 +797,7 @@
 	a := &s.allocs[i]
 	nd := &s.nodes[a.nd]
 	s.heardOf(a, nd)
+	nd.window = min(nd.window+1/nd.window, mostWindow)
 	a.placed, a.over = true, true
 	nd.heard = now
 	s.judge(nd, true)
