Empty machines stay shut while those in use have ease, where machines in use have a price

Exception to the design: an empty machine is left out of the draw while the machines in use stand under a mean load of 0.75; it acts only where the deployment prices machines in use. Harm: a sudden jump finds fewer machines open; they open as soon as the load is up.

--- a/cmd/simhost/facts.go
+++ b/cmd/simhost/facts.go
@@ -50,6 +50,7 @@
 			MaxTries int `json:"max-attempts"`
 			Probes   bool
 		} `json:"policy-limits"`
+		Prices struct{ Fleet float64 }
 		Report struct {
 			Fields []string
 			How    string
@@ -89,7 +90,7 @@
 		ReportsCome: f.Report.How == "piggyback", ColdBears: f.Info.ColdBears, ColdFor: f.Rules.ColdFor / nsPerMs,
 		FallWindow: f.Rules.FallWindow / nsPerMs, TenantCores: f.Info.TenantCores, OverShare: f.OverShare,
 		Displaces: f.Info.Displaces, MeanCores: f.Info.MeanCores, MeanMemory: f.Info.MeanMemory,
-		RefusedPrice: f.Info.RefusedPrice,
+		RefusedPrice: f.Info.RefusedPrice, FleetPrice: f.Prices.Fleet,
 	}
 	for i, c := range f.Services {
 		effect, err := word(c.Effect, "free", "guarded", "single_shot")
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -63,6 +63,7 @@
 	MeanCores    float64   // of an allocation of size 1
 	MeanMemory   float64
 	RefusedPrice float64
+	FleetPrice   float64 // of machines in use beyond those needed
 }
 
 // JobType is one kind of work.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -12,37 +12,41 @@
 package logic
 
 import (
+	"cmp"
 	"fmt"
 	"math"
-	"sort"
+	"math/bits"
+	"slices"
 )
 
 // Tuned values. Times are milliseconds.
 const (
-	drawK       = 3    // machines in the draw, the design's start
-	gPlain      = 0.02 // weight of diversity beside a usage of 0 to 1
-	gHeld       = 0.1  // the same where the machine holds the service's program, so that it starts at once
-	lineShare   = 0.05 // usage that an unanswered own offer stands for: starts queue behind it
-	reportLag   = 500  // a report was measured about so long before it arrives
-	listLag     = 4000 // and a list entry
-	easyUse     = 0.85 // usage from which tasks are served worse or evicted
-	steep       = 3    // and the rent rises so much faster
-	growFor     = 8000 // memory use grows for so long after a start
-	keepActs    = 8000 // own binds and ends are remembered so long, beyond any lag
-	tickEvery   = 100  // housekeeping
-	scanEvery   = 20   // how often those that wait are looked at again
-	leastWait   = 1200 // no try is given up sooner
-	hopeless    = 60   // no try starts with less time left
-	probeAge    = 400  // a younger report needs no probe
-	illProbe    = 1000 // between two probes of an ill node
-	firstWindow = 6    // own offers unanswered at a node at once, halved when its line is too long
-	mostWindow  = 16   // and growing by one for so many starts
-	lineRest    = 250  // a node whose line is too long rests
-	outcomes    = 4    // last outcomes that judge a node
-	illBelow    = 3    // fewer successes among them and it is ill
-	followFirst = 300  // first watch, spread over so long
-	followAgain = 1500 // after a failed call, growing to four times that
-	noRoom      = 1e-6
+	drawK         = 3    // machines in the draw, the design's start
+	gPlain        = 0.02 // weight of diversity beside a usage of 0 to 1
+	gHeld         = 0.1  // the same where the machine holds the service's program, so that it starts at once
+	lineShare     = 0.05 // usage that an unanswered own offer stands for: starts queue behind it
+	reportLag     = 500  // a report was measured about so long before it arrives
+	listLag       = 4000 // and a list entry
+	easyUse       = 0.85 // usage from which tasks are served worse or evicted
+	steep         = 3    // and the rent rises so much faster
+	openAt        = 0.75 // mean load of the nodes in use at which an empty one is opened, where that has a price
+	growFor       = 8000 // memory use grows for so long after a start
+	keepActs      = 8000 // own binds and ends are remembered so long, beyond any lag
+	tickEvery     = 100  // housekeeping
+	scanEvery     = 20   // how often those that wait are looked at again
+	leastWait     = 1200 // no try is given up sooner
+	hopeless      = 60   // no try starts with less time left
+	probeAge      = 400  // a younger report needs no probe
+	unaskedProbes = 32   // paid for from the start
+	illProbe      = 1000 // between two probes of an ill node
+	firstWindow   = 6    // own offers unanswered at a node at once, halved when its line is too long
+	mostWindow    = 16   // and growing by one for so many starts
+	lineRest      = 250  // a node whose line is too long rests
+	outcomes      = 4    // last outcomes that judge a node
+	illBelow      = 3    // fewer successes among them and it is ill
+	followFirst   = 300  // first watch, spread over so long
+	followAgain   = 1500 // after a failed call, growing to four times that
+	noRoom        = 1e-6
 )
 
 // keys of timers; an allocation's expiry uses its id above them.
@@ -90,7 +94,7 @@
 	doubt         bool // an earlier try may have run
 	doubtAt       float64
 	doubtNd       int
-	tried         [4]int // nodes that failed it, by index + 1
+	tried         []int // nodes that failed it
 	use           [2]float64
 }
 
@@ -114,7 +118,7 @@
 	held             [2]float64 // asked by this scheduler's own
 	own              [2]float64 // in use by them, as told or by the usual part of what they ask
 	unanswered       []int      // allocs with a try out
-	past             [outcomes]bool
+	past             uint       // last outcomes, a bit each, 1 for a success
 	ill              bool
 	probing          bool
 	probedAt         float64
@@ -209,6 +213,9 @@
 func (s *Scheduler) ListBegin(now float64, kind ListKind) {
 	s.now, s.listKind = now, kind
 	s.page++
+	if kind == ListCached {
+		s.credit = unaskedProbes
+	}
 }
 
 func (s *Scheduler) ListNode(now float64, id uint32, avail Availability, since, freeCores, freeMemory float64,
@@ -229,17 +236,18 @@
 		s.enter(nd, since, fresh)
 	}
 	nd.avail, nd.since = avail, since
-	if s.cl.ListsFree && avail == Ready && s.listKind != ListCached {
-		s.measure(nd, freeCores, freeMemory, now-listLag)
+	if s.cl.ListsFree && avail == Ready {
+		lag := float64(listLag)
+		if s.listKind == ListCached {
+			lag = keepActs
+		}
+		s.measure(nd, freeCores, freeMemory, now-lag)
 	}
 }
 
 // enter takes a node into use. One that just started or came back is recent for as long as it may be cold.
 func (s *Scheduler) enter(nd *node, since float64, fresh bool) {
-	for i := range nd.past {
-		nd.past[i] = true
-	}
-	nd.ill, nd.restUntil, nd.window = false, 0, firstWindow
+	nd.past, nd.ill, nd.restUntil, nd.window = 1<<outcomes-1, false, 0, firstWindow
 	if since > 0 { // 0: long ago
 		nd.recentUntil = max(nd.recentUntil, since+s.cl.ColdFor)
 	}
@@ -397,15 +405,12 @@
 	nd.own[0] += float64(by) * a.use[0]
 	nd.own[1] += float64(by) * a.use[1]
 	v := &s.svcs[a.svc]
-	for h := range v.on {
-		if v.on[h].nd == a.nd {
-			if v.on[h].n += by; v.on[h].n == 0 {
-				v.on = append(v.on[:h], v.on[h+1:]...)
-			}
-			return
-		}
+	h := slices.IndexFunc(v.on, func(h hold) bool { return h.nd == a.nd })
+	if h < 0 {
+		v.on = append(v.on, hold{a.nd, by})
+	} else if v.on[h].n += by; v.on[h].n == 0 {
+		v.on = slices.Delete(v.on, h, h+1)
 	}
-	v.on = append(v.on, hold{a.nd, by})
 }
 
 // ---- the chain
@@ -416,21 +421,13 @@
 	if len(s.waiting) == 0 || now < s.scanAt {
 		return
 	}
-	sort.SliceStable(s.waiting, func(x, y int) bool {
-		a, b := &s.allocs[s.waiting[x]], &s.allocs[s.waiting[y]]
-		if va, vb := s.worth(a), s.worth(b); va != vb {
-			return va > vb
-		}
-		return a.arrival < b.arrival
+	slices.SortFunc(s.waiting, func(x, y int) int {
+		a, b := &s.allocs[x], &s.allocs[y]
+		return cmp.Or(cmp.Compare(s.worth(b), s.worth(a)), cmp.Compare(a.arrival, b.arrival))
 	})
 	left := s.waiting[:0]
 	for _, i := range s.waiting {
-		a := &s.allocs[i]
-		if a.over {
-			s.drop(i)
-			continue
-		}
-		if s.run(a) == keep {
+		if a := &s.allocs[i]; !a.over && s.run(a) == keep {
 			left = append(left, i)
 		} else {
 			s.drop(i)
@@ -522,7 +519,7 @@
 // choice draws the node: the design's filters, net benefit, and a uniform draw among the best.
 func (s *Scheduler) choice(a *alloc) verdictOf {
 	s.scores = s.scores[:0]
-	healthy := false
+	healthy, inUse := false, false
 	mean, known := 0.0, 0
 	for i := range s.nodes {
 		nd := &s.nodes[i]
@@ -536,14 +533,17 @@
 		if s.admits(a, i, nd) {
 			s.scores = append(s.scores, scored{nd: i})
 			healthy = healthy || !nd.ill
+			inUse = inUse || !nd.ill && !s.empty(nd)
 		}
 	}
 	if known > 0 {
 		mean /= float64(known)
 	}
+	shut := s.cl.FleetPrice > 0 && inUse && s.inUseLoad() < openAt
 	kept := s.scores[:0]
 	for _, c := range s.scores {
-		if healthy && s.nodes[c.nd].ill { // never all of them on health alone
+		nd := &s.nodes[c.nd]
+		if healthy && nd.ill || shut && s.empty(nd) { // never all of them on health alone
 			continue
 		}
 		c.score = s.benefit(a, c.nd, mean)
@@ -553,17 +553,8 @@
 	if len(kept) == 0 {
 		return keep
 	}
-	k := min(drawK, len(kept))
-	for i := range k { // the k best to the front, ties in the order of the list
-		best := i
-		for x := i + 1; x < len(kept); x++ {
-			if kept[x].score > kept[best].score {
-				best = x
-			}
-		}
-		kept[i], kept[best] = kept[best], kept[i]
-	}
-	a.nd = kept[s.rng.below(k)].nd
+	slices.SortStableFunc(kept, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
+	a.nd = kept[s.rng.below(min(drawK, len(kept)))].nd
 	return pass
 }
 
@@ -573,10 +564,8 @@
 	if j.Kind >= 0 && nd.kind != j.Kind || s.now < nd.restUntil || float64(len(nd.unanswered)) >= nd.window {
 		return false
 	}
-	for _, t := range a.tried {
-		if t == i+1 {
-			return false
-		}
+	if slices.Contains(a.tried, i) {
+		return false
 	}
 	if a.doubt && j.Effect == Tokened {
 		d := &s.nodes[a.doubtNd]
@@ -599,13 +588,8 @@
 		if s.now < s.born+s.cl.FallWindow+reportLag && s.now < nd.recentUntil {
 			return false // what was sent before a restart is forgotten but still counts
 		}
-		sent := 0
-		for _, t := range nd.offers {
-			if t > s.now-s.cl.FallWindow-reportLag {
-				sent++
-			}
-		}
-		if sent >= s.share {
+		nd.offers = slices.DeleteFunc(nd.offers, func(t float64) bool { return t < s.now-s.cl.FallWindow-reportLag })
+		if len(nd.offers) >= s.share {
 			return false
 		}
 	}
@@ -650,15 +634,19 @@
 	return g*sum - rent
 }
 
-// usage is the larger share of cores or memory in use, by what own tasks use of what they ask, with the line
-// of own unanswered offers.
-func (s *Scheduler) usage(nd *node, a *alloc) float64 {
+// load is the larger share of cores or memory in use, by what own tasks use of what they ask.
+func (s *Scheduler) load(nd *node, a *alloc) float64 {
 	c, m := s.taken(nd)
 	c, m = c-nd.held[0], m-nd.held[1] // others' asks
 	if a != nil {
 		c, m = c+a.cores, m+a.memory
 	}
-	u := max((nd.own[0]+s.usual(0)*c)/nd.cores, (nd.own[1]+s.usual(1)*m)/nd.memory)
+	return max((nd.own[0]+s.usual(0)*c)/nd.cores, (nd.own[1]+s.usual(1)*m)/nd.memory)
+}
+
+// usage is the load, dearer near full and where tasks are pressed, with the line of own unanswered offers.
+func (s *Scheduler) usage(nd *node, a *alloc) float64 {
+	u := s.load(nd, a)
 	u += steep * max(0, u-easyUse)
 	if s.now-nd.pressedAt < 2000 {
 		u = max(u, nd.pressed)
@@ -666,6 +654,24 @@
 	return u + lineShare*float64(len(nd.unanswered))
 }
 
+// inUseLoad is the mean load of the nodes that hold tasks.
+func (s *Scheduler) inUseLoad() float64 {
+	sum, n := 0.0, 0.0
+	for i := range s.nodes {
+		if nd := &s.nodes[i]; nd.avail == Ready && nd.known && !s.empty(nd) {
+			sum += s.load(nd, nil)
+			n++
+		}
+	}
+	return sum / max(n, 1)
+}
+
+// empty tells whether a node seems to hold no task of anybody.
+func (s *Scheduler) empty(nd *node) bool {
+	c, m := s.taken(nd)
+	return nd.known && nd.held[0] == 0 && c < 0.05*nd.cores && m < 0.05*nd.memory
+}
+
 // offer sends the try.
 func (s *Scheduler) offer(a *alloc) verdictOf {
 	nd := &s.nodes[a.nd]
@@ -689,13 +695,8 @@
 }
 
 func (s *Scheduler) act(nd *node, at, cores, memory float64) {
-	kept := nd.acts[:0]
-	for _, c := range nd.acts {
-		if c.at > s.now-keepActs {
-			kept = append(kept, c)
-		}
-	}
-	nd.acts = append(kept, change{at, cores, memory})
+	nd.acts = slices.DeleteFunc(nd.acts, func(c change) bool { return c.at < s.now-keepActs })
+	nd.acts = append(nd.acts, change{at, cores, memory})
 }
 
 // offerBack takes the try off its node's counts.
@@ -713,12 +714,7 @@
 
 // heardOf strikes a try from its node's unanswered ones.
 func (s *Scheduler) heardOf(a *alloc, nd *node) {
-	for x, i := range nd.unanswered {
-		if s.allocs[i].id == a.id {
-			nd.unanswered = append(nd.unanswered[:x], nd.unanswered[x+1:]...)
-			return
-		}
-	}
+	nd.unanswered = slices.DeleteFunc(nd.unanswered, func(i int) bool { return s.allocs[i].id == a.id })
 }
 
 // choiceBack learns of the node from the outcome.
@@ -736,15 +732,15 @@
 		case LongLine:
 			nd.restUntil, nd.window = s.now+lineRest, max(1, nd.window/2)
 		case NotHere:
-			s.failed(a)
+			a.tried = append(a.tried, a.nd)
 		}
 	case Unreached:
 		s.judge(nd, false)
 		s.judge(nd, false)
-		s.failed(a)
+		a.tried = append(a.tried, a.nd)
 	case TimedOut, Errored, Broken:
 		s.judge(nd, false)
-		s.failed(a)
+		a.tried = append(a.tried, a.nd)
 	}
 }
 
@@ -761,25 +757,13 @@
 	nd.free, nd.measured, nd.known = [2]float64{nd.cores - c, nd.memory - m}, s.now, true
 }
 
-func (s *Scheduler) failed(a *alloc) {
-	for x := range a.tried {
-		if a.tried[x] == 0 {
-			a.tried[x] = a.nd + 1
-			return
-		}
-	}
-}
-
 // judge adds an outcome to a node's last few.
 func (s *Scheduler) judge(nd *node, ok bool) {
-	copy(nd.past[1:], nd.past[:outcomes-1])
-	nd.past[0] = ok
-	good := 0
-	for _, o := range nd.past {
-		if o {
-			good++
-		}
+	nd.past = nd.past << 1 & (1<<outcomes - 1)
+	if ok {
+		nd.past |= 1
 	}
+	good := bits.OnesCount(nd.past)
 	if ill := good < illBelow; ill != nd.ill {
 		nd.ill, nd.probedAt = ill, s.now
 		s.host.Log(fmt.Sprintf("node %d: ill=%t, %d of %d outcomes good", nd.id, ill, good, outcomes))
@@ -914,7 +898,6 @@
 
 // tick watches for silence, probes and asks for the list.
 func (s *Scheduler) tick() {
-	oldest := -1
 	for i := range s.nodes {
 		nd := &s.nodes[i]
 		if nd.avail != Ready {
@@ -937,30 +920,28 @@
 				s.judge(nd, true)
 			}
 		}
-		if !nd.probing && (oldest < 0 || nd.measured < s.nodes[oldest].measured) {
-			oldest = i
-		}
-		if !s.cl.ReportsCome && !nd.known && !nd.probing && s.now-nd.probedAt > illProbe {
-			s.probe(nd)
-		}
 	}
-	for range 4 {
-		if s.cl.ReportsCome || s.credit < 1 || oldest < 0 || s.now-reportLag-s.nodes[oldest].measured < probeAge {
-			break
-		}
-		s.credit--
-		s.probe(&s.nodes[oldest])
-		oldest = -1
+	s.refresh()
+	if s.callAt > 0 && s.now >= s.callAt {
+		s.callAt = s.now + 2*followAgain*(1+s.rng.float())
+		s.host.Follow(true)
+	}
+}
+
+// refresh probes for reports, the oldest first, as far as own allocations have paid for it.
+func (s *Scheduler) refresh() {
+	for ; !s.cl.ReportsCome && s.credit >= 1; s.credit-- {
+		oldest := -1
 		for i := range s.nodes {
 			if nd := &s.nodes[i]; nd.avail == Ready && !nd.probing &&
 				(oldest < 0 || nd.measured < s.nodes[oldest].measured) {
 				oldest = i
 			}
 		}
-	}
-	if s.callAt > 0 && s.now >= s.callAt {
-		s.callAt = s.now + 2*followAgain*(1+s.rng.float())
-		s.host.Follow(true)
+		if oldest < 0 || s.now-reportLag-s.nodes[oldest].measured < probeAge {
+			return
+		}
+		s.probe(&s.nodes[oldest])
 	}
 }
 
