--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,7 +23,7 @@
 const (
 	drawK         = 3    // machines in the draw, the design's start
 	gPlain        = 0.02 // weight of diversity beside a usage of 0 to 1
-	gHeld         = 0.1  // the same where the machine holds the service's program, so that it starts at once
+	gHeld         = 0.3  // the same where the machine holds the service's program, so that it starts at once
 	lineShare     = 0.05 // usage that an unanswered own offer stands for: starts queue behind it
 	reportLag     = 500  // a report was measured about so long before it arrives
 	listLag       = 4000 // and a list entry
