--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,7 +21,7 @@
 
 // Tuned values. Times are milliseconds.
 const (
-	drawK         = 3    // machines in the draw, the design's start
+	drawK         = 2    // machines in the draw at most; no more than schedulers that could meet there
 	gPlain        = 0.02 // weight of diversity beside a usage of 0 to 1
 	gHeld         = 0.3  // the same where the machine holds the service's program, so that it starts at once
 	lineShare     = 0.05 // usage that an unanswered own offer stands for: starts queue behind it
@@ -31,6 +31,7 @@
 	steep         = 3    // and the rent rises so much faster
 	openAt        = 0.75 // mean load of the nodes in use at which an empty one is opened, where that has a price
 	growFor       = 8000 // memory use grows for so long after a start
+	large         = 4    // mean sizes from which an allocation gets a node kept for it
 	keepActs      = 8000 // own binds and ends are remembered so long, beyond any lag
 	tickEvery     = 100  // housekeeping
 	scanEvery     = 20   // how often those that wait are looked at again
@@ -144,36 +145,37 @@
 
 // Scheduler is the decision module of one scheduler.
 type Scheduler struct {
-	host      Host
-	rng       pcg
-	now       float64
-	born      float64
-	cl        *Cluster // only derived figures are read after New
-	jobs      []job
-	share     int // offers that this scheduler may send to a cold node within the window
-	x0, x1    int // places in a report, or -1
-	nodes     []node
-	nodeAt    map[uint32]int
-	allocs    []alloc
-	allocAt   map[uint32]int
-	freeAlloc []int
-	svcs      []service
-	svcAt     map[uint64]int
-	freeSvc   []int
-	waiting   []int
-	arrivals  uint64
-	page      int
-	listKind  ListKind
-	listAt    float64
-	callAt    float64 // when to call for the list again; 0 never
-	fails     int
-	credit    float64 // probes that own allocations have paid for
-	used      [2]float64
-	asked     [2]float64
-	scanSet   bool
-	scanAt    float64
-	short     bool
-	scores    []scored
+	host                  Host
+	rng                   pcg
+	now                   float64
+	born                  float64
+	cl                    *Cluster // only derived figures are read after New
+	jobs                  []job
+	share                 int // offers that this scheduler may send to a cold node within the window
+	x0, x1                int // places in a report, or -1
+	nodes                 []node
+	nodeAt                map[uint32]int
+	allocs                []alloc
+	allocAt               map[uint32]int
+	freeAlloc             []int
+	svcs                  []service
+	svcAt                 map[uint64]int
+	freeSvc               []int
+	waiting               []int
+	arrivals              uint64
+	page                  int
+	listKind              ListKind
+	listAt                float64
+	callAt                float64 // when to call for the list again; 0 never
+	fails                 int
+	credit                float64 // probes that own allocations have paid for
+	used                  [2]float64
+	asked                 [2]float64
+	scanSet               bool
+	scanAt                float64
+	short                 bool
+	scores                []scored
+	reserved, reservedFor int // a node and the large allocation it is kept for, or -1
 }
 
 type scored struct {
@@ -183,7 +185,7 @@
 
 // New starts a scheduler that knows nothing yet; its last list comes next.
 func New(host Host, now float64, seed uint64, cl *Cluster) *Scheduler {
-	s := &Scheduler{host: host, rng: pcg{seed}, now: now, born: now, cl: cl, x0: -1, x1: -1,
+	s := &Scheduler{host: host, rng: pcg{seed}, now: now, born: now, cl: cl, x0: -1, x1: -1, reservedFor: -1,
 		nodeAt: map[uint32]int{}, allocAt: map[uint32]int{}, svcAt: map[uint64]int{}, listAt: now}
 	s.rng.next()
 	s.share = int(cl.ColdBears / float64(max(1, cl.Schedulers)))
@@ -425,6 +427,9 @@
 		a, b := &s.allocs[x], &s.allocs[y]
 		return cmp.Or(cmp.Compare(s.worth(b), s.worth(a)), cmp.Compare(a.arrival, b.arrival))
 	})
+	if s.reservedFor >= 0 && !slices.Contains(s.waiting, s.reservedFor) {
+		s.reservedFor = -1
+	}
 	left := s.waiting[:0]
 	for _, i := range s.waiting {
 		if a := &s.allocs[i]; !a.over && s.run(a) == keep {
@@ -551,20 +556,60 @@
 	}
 	s.scores = kept
 	if len(kept) == 0 {
+		s.reserve(a)
 		return keep
 	}
 	slices.SortStableFunc(kept, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
-	a.nd = kept[s.rng.below(min(drawK, len(kept)))].nd
+	a.nd = kept[s.rng.below(min(drawK, s.cl.Schedulers, len(kept)))].nd
 	return pass
 }
 
+// reserve keeps the node that comes nearest to room for a large allocation free of this scheduler's smaller
+// ones until it is placed: one at a time. It guards against large allocations that wait while small ones take
+// each place that falls free; it could leave a place idle that another scheduler's tasks never let grow.
+func (s *Scheduler) reserve(a *alloc) {
+	if s.reservedFor >= 0 || a.cores/s.cl.MeanCores+a.memory/s.cl.MeanMemory < 2*large {
+		return
+	}
+	nearest := 0.0
+	for i := range s.nodes {
+		nd := &s.nodes[i]
+		c, m := s.taken(nd)
+		if near := min((nd.cores*s.cl.CoresLimit-c)/a.cores, (nd.memory*s.cl.MemoryLimit-m)/a.memory); near > nearest &&
+			nd.avail == Ready && nd.known && !nd.ill && s.permits(a, i, nd) {
+			nearest, s.reserved, s.reservedFor = near, i, s.allocAt[a.id]
+		}
+	}
+}
+
 // admits holds the design's filters and the guards that the rules need at each send.
 func (s *Scheduler) admits(a *alloc, i int, nd *node) bool {
-	j := &s.jobs[a.job]
-	if j.Kind >= 0 && nd.kind != j.Kind || s.now < nd.restUntil || float64(len(nd.unanswered)) >= nd.window {
+	if s.now < nd.restUntil || float64(len(nd.unanswered)) >= nd.window || !s.permits(a, i, nd) {
 		return false
 	}
-	if slices.Contains(a.tried, i) {
+	if s.now < nd.recentUntil || nd.heard < 0 {
+		if s.now < s.born+s.cl.FallWindow+reportLag && s.now < nd.recentUntil {
+			return false // what was sent before a restart is forgotten but still counts
+		}
+		nd.offers = slices.DeleteFunc(nd.offers, func(t float64) bool { return t < s.now-s.cl.FallWindow-reportLag })
+		if len(nd.offers) >= s.share {
+			return false
+		}
+	}
+	if !nd.known {
+		return true
+	}
+	if s.reservedFor >= 0 && s.reserved == i && s.allocAt[a.id] != s.reservedFor {
+		return false
+	}
+	c, m := s.taken(nd)
+	return c+a.cores <= nd.cores*s.cl.CoresLimit+noRoom && m+a.memory <= nd.memory*s.cl.MemoryLimit+noRoom
+}
+
+// permits holds the filters that do not change while an allocation waits: kind, its group, spread.
+func (s *Scheduler) permits(a *alloc, i int, nd *node) bool {
+	j := &s.jobs[a.job]
+	if j.Kind >= 0 && nd.kind != j.Kind || slices.Contains(a.tried, i) {
 		return false
 	}
 	if a.doubt && j.Effect == Tokened {
@@ -584,20 +629,7 @@
 			return false
 		}
 	}
-	if s.now < nd.recentUntil || nd.heard < 0 {
-		if s.now < s.born+s.cl.FallWindow+reportLag && s.now < nd.recentUntil {
-			return false // what was sent before a restart is forgotten but still counts
-		}
-		nd.offers = slices.DeleteFunc(nd.offers, func(t float64) bool { return t < s.now-s.cl.FallWindow-reportLag })
-		if len(nd.offers) >= s.share {
-			return false
-		}
-	}
-	if !nd.known {
-		return true
-	}
-	c, m := s.taken(nd)
-	return c+a.cores <= nd.cores*s.cl.CoresLimit+noRoom && m+a.memory <= nd.memory*s.cl.MemoryLimit+noRoom
+	return true
 }
 
 // distance is the document's diversity over zone, cell and machine.
