Small allocations leave room for a large one whole; machines beyond need shut by load

Machines in use beyond need now shut too, the least loaded first, instead of only empty ones staying shut.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -120,7 +120,7 @@
 	own              [2]float64 // in use by them, as told or by the usual part of what they ask
 	unanswered       []int      // allocs with a try out
 	past             uint       // last outcomes, a bit each, 1 for a success
-	ill              bool
+	ill, shut        bool
 	probing          bool
 	probedAt         float64
 	restUntil        float64
@@ -145,37 +145,39 @@
 
 // Scheduler is the decision module of one scheduler.
 type Scheduler struct {
-	host                  Host
-	rng                   pcg
-	now                   float64
-	born                  float64
-	cl                    *Cluster // only derived figures are read after New
-	jobs                  []job
-	share                 int // offers that this scheduler may send to a cold node within the window
-	x0, x1                int // places in a report, or -1
-	nodes                 []node
-	nodeAt                map[uint32]int
-	allocs                []alloc
-	allocAt               map[uint32]int
-	freeAlloc             []int
-	svcs                  []service
-	svcAt                 map[uint64]int
-	freeSvc               []int
-	waiting               []int
-	arrivals              uint64
-	page                  int
-	listKind              ListKind
-	listAt                float64
-	callAt                float64 // when to call for the list again; 0 never
-	fails                 int
-	credit                float64 // probes that own allocations have paid for
-	used                  [2]float64
-	asked                 [2]float64
-	scanSet               bool
-	scanAt                float64
-	short                 bool
-	scores                []scored
-	reserved, reservedFor int // a node and the large allocation it is kept for, or -1
+	host      Host
+	rng       pcg
+	now       float64
+	born      float64
+	cl        *Cluster // only derived figures are read after New
+	jobs      []job
+	share     int // offers that this scheduler may send to a cold node within the window
+	x0, x1    int // places in a report, or -1
+	nodes     []node
+	nodeAt    map[uint32]int
+	allocs    []alloc
+	allocAt   map[uint32]int
+	freeAlloc []int
+	svcs      []service
+	svcAt     map[uint64]int
+	freeSvc   []int
+	waiting   []int
+	arrivals  uint64
+	page      int
+	listKind  ListKind
+	listAt    float64
+	callAt    float64 // when to call for the list again; 0 never
+	fails     int
+	credit    float64 // probes that own allocations have paid for
+	used      [2]float64
+	asked     [2]float64
+	scanSet   bool
+	scanAt    float64
+	short     bool
+	scores    []scored
+	byLoad    []scored
+	mean      float64    // load
+	big       [2]float64 // cores and memory of the largest allocation seen
 }
 
 type scored struct {
@@ -185,7 +187,7 @@
 
 // New starts a scheduler that knows nothing yet; its last list comes next.
 func New(host Host, now float64, seed uint64, cl *Cluster) *Scheduler {
-	s := &Scheduler{host: host, rng: pcg{seed}, now: now, born: now, cl: cl, x0: -1, x1: -1, reservedFor: -1,
+	s := &Scheduler{host: host, rng: pcg{seed}, now: now, born: now, cl: cl, x0: -1, x1: -1,
 		nodeAt: map[uint32]int{}, allocAt: map[uint32]int{}, svcAt: map[uint64]int{}, listAt: now}
 	s.rng.next()
 	s.share = int(cl.ColdBears / float64(max(1, cl.Schedulers)))
@@ -377,6 +379,9 @@
 	s.now = now
 	i := s.take(id, jobType, tenant, svcKey, cores, memory)
 	s.allocs[i].expiry = expiry - 2*s.cl.Step // the answer is there before the owner's time is up
+	if size := s.size(cores, memory); size >= large && cores+memory > s.big[0]+s.big[1] {
+		s.big = [2]float64{cores, memory}
+	}
 	s.waiting = append(s.waiting, i)
 	s.host.Wake(s.allocs[i].expiry-now, keyAlloc+uint64(id))
 	s.credit = min(s.credit+1, float64(len(s.nodes)))
@@ -396,6 +401,11 @@
 	s.place(a, 1)
 }
 
+// size is the mean of an allocation's cores and memory over what is usual here.
+func (s *Scheduler) size(cores, memory float64) float64 {
+	return (cores/s.cl.MeanCores + memory/s.cl.MeanMemory) / 2
+}
+
 // place counts an allocation in (+1) or out (-1) of its node and of its service's machines.
 func (s *Scheduler) place(a *alloc, by int) {
 	nd := &s.nodes[a.nd]
@@ -427,9 +437,7 @@
 		a, b := &s.allocs[x], &s.allocs[y]
 		return cmp.Or(cmp.Compare(s.worth(b), s.worth(a)), cmp.Compare(a.arrival, b.arrival))
 	})
-	if s.reservedFor >= 0 && !slices.Contains(s.waiting, s.reservedFor) {
-		s.reservedFor = -1
-	}
+	s.survey()
 	left := s.waiting[:0]
 	for _, i := range s.waiting {
 		if a := &s.allocs[i]; !a.over && s.run(a) == keep {
@@ -521,42 +529,34 @@
 	}
 }
 
-// choice draws the node: the design's filters, net benefit, and a uniform draw among the best.
+// choice draws the node: the design's filters, net benefit, and a uniform draw among the best. Only nodes of
+// the least flaw are in the draw: sound ones, else those where a small allocation would break the room for a
+// large one, else empty ones that are shut, else ill ones, so that no flaw alone filters out every node.
 func (s *Scheduler) choice(a *alloc) verdictOf {
-	s.scores = s.scores[:0]
-	healthy, inUse := false, false
-	mean, known := 0.0, 0
+	kept, least := s.scores[:0], math.MaxInt
 	for i := range s.nodes {
 		nd := &s.nodes[i]
-		if nd.avail != Ready {
+		if nd.avail != Ready || !s.admits(a, i, nd) {
 			continue
 		}
-		if nd.known {
-			mean += s.usage(nd, nil)
-			known++
+		flaw := 0
+		switch {
+		case nd.ill:
+			flaw = 3
+		case nd.shut:
+			flaw = 2
+		case s.breaks(a, nd):
+			flaw = 1
 		}
-		if s.admits(a, i, nd) {
-			s.scores = append(s.scores, scored{nd: i})
-			healthy = healthy || !nd.ill
-			inUse = inUse || !nd.ill && !s.empty(nd)
+		if flaw < least {
+			kept, least = kept[:0], flaw
 		}
-	}
-	if known > 0 {
-		mean /= float64(known)
-	}
-	shut := s.cl.FleetPrice > 0 && inUse && s.inUseLoad() < openAt
-	kept := s.scores[:0]
-	for _, c := range s.scores {
-		nd := &s.nodes[c.nd]
-		if healthy && nd.ill || shut && s.empty(nd) { // never all of them on health alone
-			continue
+		if flaw == least {
+			kept = append(kept, scored{i, s.benefit(a, i, s.mean)})
 		}
-		c.score = s.benefit(a, c.nd, mean)
-		kept = append(kept, c)
 	}
 	s.scores = kept
 	if len(kept) == 0 {
-		s.reserve(a)
 		return keep
 	}
 	slices.SortStableFunc(kept, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
@@ -564,24 +564,6 @@
 	return pass
 }
 
-// reserve keeps the node that comes nearest to room for a large allocation free of this scheduler's smaller
-// ones until it is placed: one at a time. It guards against large allocations that wait while small ones take
-// each place that falls free; it could leave a place idle that another scheduler's tasks never let grow.
-func (s *Scheduler) reserve(a *alloc) {
-	if s.reservedFor >= 0 || a.cores/s.cl.MeanCores+a.memory/s.cl.MeanMemory < 2*large {
-		return
-	}
-	nearest := 0.0
-	for i := range s.nodes {
-		nd := &s.nodes[i]
-		c, m := s.taken(nd)
-		if near := min((nd.cores*s.cl.CoresLimit-c)/a.cores, (nd.memory*s.cl.MemoryLimit-m)/a.memory); near > nearest &&
-			nd.avail == Ready && nd.known && !nd.ill && s.permits(a, i, nd) {
-			nearest, s.reserved, s.reservedFor = near, i, s.allocAt[a.id]
-		}
-	}
-}
-
 // admits holds the design's filters and the guards that the rules need at each send.
 func (s *Scheduler) admits(a *alloc, i int, nd *node) bool {
 	if s.now < nd.restUntil || float64(len(nd.unanswered)) >= nd.window || !s.permits(a, i, nd) {
@@ -599,9 +581,6 @@
 	if !nd.known {
 		return true
 	}
-	if s.reservedFor >= 0 && s.reserved == i && s.allocAt[a.id] != s.reservedFor {
-		return false
-	}
 	c, m := s.taken(nd)
 	return c+a.cores <= nd.cores*s.cl.CoresLimit+noRoom && m+a.memory <= nd.memory*s.cl.MemoryLimit+noRoom
 }
@@ -666,14 +645,20 @@
 	return g*sum - rent
 }
 
-// load is the larger share of cores or memory in use, by what own tasks use of what they ask.
-func (s *Scheduler) load(nd *node, a *alloc) float64 {
+// inUse is what a node's tasks use, with one more: own tasks as told, others by the usual part of their asks.
+func (s *Scheduler) inUse(nd *node, a *alloc) (cores, memory float64) {
 	c, m := s.taken(nd)
-	c, m = c-nd.held[0], m-nd.held[1] // others' asks
+	c, m = c-nd.held[0], m-nd.held[1]
 	if a != nil {
 		c, m = c+a.cores, m+a.memory
 	}
-	return max((nd.own[0]+s.usual(0)*c)/nd.cores, (nd.own[1]+s.usual(1)*m)/nd.memory)
+	return nd.own[0] + s.usual(0)*c, nd.own[1] + s.usual(1)*m
+}
+
+// load is the larger share of cores or memory in use.
+func (s *Scheduler) load(nd *node, a *alloc) float64 {
+	c, m := s.inUse(nd, a)
+	return max(c/nd.cores, m/nd.memory)
 }
 
 // usage is the load, dearer near full and where tasks are pressed, with the line of own unanswered offers.
@@ -686,22 +671,38 @@
 	return u + lineShare*float64(len(nd.unanswered))
 }
 
-// inUseLoad is the mean load of the nodes that hold tasks.
-func (s *Scheduler) inUseLoad() float64 {
-	sum, n := 0.0, 0.0
+// survey finds the mean load and, where machines in use have a price, shuts those beyond what all tasks need,
+// the least loaded first: as they get nothing new they empty, and stay last.
+func (s *Scheduler) survey() {
+	s.byLoad, s.mean = s.byLoad[:0], 0
+	var need, have [2]float64
 	for i := range s.nodes {
-		if nd := &s.nodes[i]; nd.avail == Ready && nd.known && !s.empty(nd) {
-			sum += s.load(nd, nil)
-			n++
+		if nd := &s.nodes[i]; nd.avail == Ready && nd.known {
+			s.byLoad = append(s.byLoad, scored{i, s.load(nd, nil)})
+			s.mean += s.byLoad[len(s.byLoad)-1].score
+			c, m := s.inUse(nd, nil)
+			need[0], need[1] = need[0]+c, need[1]+m
+		}
+	}
+	s.mean /= max(1, float64(len(s.byLoad)))
+	slices.SortStableFunc(s.byLoad, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
+	for _, c := range s.byLoad {
+		nd := &s.nodes[c.nd]
+		nd.shut = s.cl.FleetPrice > 0 && have[0]*openAt >= need[0] && have[1]*openAt >= need[1]
+		if !nd.ill {
+			have[0], have[1] = have[0]+nd.cores, have[1]+nd.memory
 		}
 	}
-	return sum / max(n, 1)
 }
 
-// empty tells whether a node seems to hold no task of anybody.
-func (s *Scheduler) empty(nd *node) bool {
+// breaks tells whether a small allocation would take from a node the room for a large one of a kind seen here.
+func (s *Scheduler) breaks(a *alloc, nd *node) bool {
+	if !nd.known || a.cores+a.memory >= s.big[0]+s.big[1] {
+		return false
+	}
 	c, m := s.taken(nd)
-	return nd.known && nd.held[0] == 0 && c < 0.05*nd.cores && m < 0.05*nd.memory
+	c, m = nd.cores*s.cl.CoresLimit-c, nd.memory*s.cl.MemoryLimit-m
+	return c >= s.big[0] && m >= s.big[1] && (c-a.cores < s.big[0] || m-a.memory < s.big[1])
 }
 
 // offer sends the try.
