--- a/logic/logic.go
+++ b/logic/logic.go
@@ -6,9 +6,10 @@
 // Beside it stand these mechanisms:
 //  1. health: a node is judged by its last few outcomes and by silence; an ill one is probed, not used
 //  2. patience: a try's time-out follows the start times seen for the job type
-//  3. waiting: an allocation without room waits, the most valuable first, until shortly before its expiry
+//  3. waiting: without room the most valuable goes first; a node has a window of own unanswered offers
 //  4. pacing: a recent node gets this scheduler's share of what a cold node bears
 //  5. probing: one probe an allocation at most, the oldest report first
+//  6. flaws: ill nodes, machines beyond need, those near eviction and the room for large ones are drawn last
 package logic
 
 import (
@@ -29,9 +30,11 @@
 	listLag       = 4000 // and a list entry
 	easyUse       = 0.85 // usage from which tasks are served worse or evicted
 	steep         = 3    // and the rent rises so much faster
-	openAt        = 0.75 // mean load of the nodes in use at which an empty one is opened, where that has a price
+	openAt        = 0.75 // mean load up to which machines in use are filled, where they have a price
 	growFor       = 8000 // memory use grows for so long after a start
-	large         = 4    // mean sizes from which an allocation gets a node kept for it
+	pressedFor    = 2000 // a note of pressure on a node holds so long
+	memoryTop     = 0.9  // share of its memory that a node may be expected to use
+	large         = 4    // mean sizes from which room for an allocation is kept whole
 	keepActs      = 8000 // own binds and ends are remembered so long, beyond any lag
 	tickEvery     = 100  // housekeeping
 	scanEvery     = 20   // how often those that wait are looked at again
@@ -47,7 +50,6 @@
 	illBelow      = 3    // fewer successes among them and it is ill
 	followFirst   = 300  // first watch, spread over so long
 	followAgain   = 1500 // after a failed call, growing to four times that
-	noRoom        = 1e-6
 )
 
 // keys of timers; an allocation's expiry uses its id above them.
@@ -57,17 +59,17 @@
 	keyAlloc = 1 << 32
 )
 
-type verdictOf uint8
+type step uint8
 
 const (
-	pass verdictOf = iota // on to the next stage
-	keep                  // the stage holds the allocation
-	end                   // give it its final answer
+	pass step = iota // on to the next stage
+	keep             // the stage holds the allocation
+	end              // give it its final answer
 )
 
 // stage is a link of the chain: forward on the way to a node, back with what came of the try.
 type stage struct {
-	forward func(*Scheduler, *alloc) verdictOf
+	forward func(*Scheduler, *alloc) step
 	back    func(*Scheduler, *alloc, *node, Verdict, Reason, float64)
 }
 
@@ -80,53 +82,45 @@
 }
 
 type alloc struct {
-	id            uint32
-	job, tenant   int
-	svc           int
-	cores, memory float64
-	expiry        float64
-	arrival       uint64
-	tries         int
-	nd            int     // of the try that is out, or where it is placed
-	sentAt        float64 // of that try
-	out           bool    // a try without an outcome, placed ones included
-	placed        bool
-	over          bool // has its final answer
-	doubt         bool // an earlier try may have run
-	doubtAt       float64
-	doubtNd       int
-	tried         []int // nodes that failed it
-	use           [2]float64
+	id                uint32
+	job, svc          int
+	cores, memory     float64
+	expiry            float64
+	arrival           uint64
+	tries             int
+	nd                int        // of the try that is out, or where it is placed
+	sentAt            float64    // of that try
+	use               [2]float64 // cores and memory in use, as told or as usual
+	out, placed, over bool       // a try has no outcome yet, it started, the final answer is given
+	doubt             bool       // an earlier try may have run: the first such, by time and node
+	doubtAt           float64
+	doubtNd           int
+	tried             []int // nodes that failed it
 }
 
 // change is a bind (+) or an end (-) of this scheduler's on a node.
 type change struct{ at, cores, memory float64 }
 
 type node struct {
-	id               uint32
-	zone, cell, kind int
-	cores, memory    float64
-	avail            Availability
-	page             int // the list that last named it
-	since            float64
-	recentUntil      float64 // just started or returned: ranks average, paced
-	heard            float64 // last word of any kind
-	offers           []float64
-	free             [2]float64 // cores, memory not asked for, as measured
-	measured         float64
-	known            bool
-	acts             []change
-	held             [2]float64 // asked by this scheduler's own
-	own              [2]float64 // in use by them, as told or by the usual part of what they ask
-	unanswered       []int      // allocs with a try out
-	past             uint       // last outcomes, a bit each, 1 for a success
-	ill, shut        bool
-	probing          bool
-	probedAt         float64
-	restUntil        float64
-	window           float64 // own offers that may be unanswered there at once
-	pressed          float64 // pressure told by notes, as usage
-	pressedAt        float64
+	id                        uint32
+	zone, cell, kind          int
+	cores, memory             float64
+	avail                     Availability
+	page                      int     // the list that last named it
+	since, heard              float64 // its start, the last word of it
+	recentUntil               float64 // just started or returned: ranks average, paced
+	offers                    []float64
+	free                      [2]float64 // cores, memory not asked for, as measured at that time
+	measured                  float64
+	acts                      []change
+	held, own                 [2]float64 // asked by this scheduler's own, and in use by them
+	unanswered                []int      // allocs with a try out
+	past                      uint       // last outcomes, a bit each, 1 for a success
+	known, ill, shut, probing bool
+	probedAt, restUntil       float64
+	window                    float64 // own offers that may be unanswered there at once
+	pressed, pressedAt        float64 // pressure told by notes, as usage
+	busy, line, busyAt        float64 // cores busy and offers waiting, as reported
 }
 
 type hold struct{ nd, n int }
@@ -145,39 +139,30 @@
 
 // Scheduler is the decision module of one scheduler.
 type Scheduler struct {
-	host      Host
-	rng       pcg
-	now       float64
-	born      float64
-	cl        *Cluster // only derived figures are read after New
-	jobs      []job
-	share     int // offers that this scheduler may send to a cold node within the window
-	x0, x1    int // places in a report, or -1
-	nodes     []node
-	nodeAt    map[uint32]int
-	allocs    []alloc
-	allocAt   map[uint32]int
-	freeAlloc []int
-	svcs      []service
-	svcAt     map[uint64]int
-	freeSvc   []int
-	waiting   []int
-	arrivals  uint64
-	page      int
-	listKind  ListKind
-	listAt    float64
-	callAt    float64 // when to call for the list again; 0 never
-	fails     int
-	credit    float64 // probes that own allocations have paid for
-	used      [2]float64
-	asked     [2]float64
-	scanSet   bool
-	scanAt    float64
-	short     bool
-	scores    []scored
-	byLoad    []scored
-	mean      float64    // load
-	big       [2]float64 // cores and memory of the largest allocation seen
+	host                        Host
+	rng                         pcg
+	now, born                   float64
+	cl                          *Cluster
+	jobs                        []job
+	share                       int // offers that this scheduler may send to a cold node within the window
+	x0, x1, busy, line          int // places in a report, or -1
+	nodes                       []node
+	allocs                      []alloc
+	svcs                        []service
+	nodeAt, allocAt             map[uint32]int
+	svcAt                       map[uint64]int
+	freeAlloc, freeSvc, waiting []int
+	arrivals                    uint64
+	page, fails                 int
+	listKind                    ListKind
+	listAt, callAt              float64 // the last news, and when to call for the list again (0 never)
+	credit                      float64 // probes that own allocations have paid for
+	used, asked                 [2]float64
+	scanSet, short              bool
+	scanAt                      float64
+	scores, byLoad              []scored
+	mean                        float64    // load
+	big                         [2]float64 // cores and memory of the largest allocation seen
 }
 
 type scored struct {
@@ -187,18 +172,12 @@
 
 // New starts a scheduler that knows nothing yet; its last list comes next.
 func New(host Host, now float64, seed uint64, cl *Cluster) *Scheduler {
-	s := &Scheduler{host: host, rng: pcg{seed}, now: now, born: now, cl: cl, x0: -1, x1: -1,
+	s := &Scheduler{host: host, rng: pcg{seed}, now: now, born: now, cl: cl,
+		x0: slices.Index(cl.Report, "x0"), x1: slices.Index(cl.Report, "x1"),
+		busy: slices.Index(cl.Report, "cpu"), line: slices.Index(cl.Report, "waiting"),
 		nodeAt: map[uint32]int{}, allocAt: map[uint32]int{}, svcAt: map[uint64]int{}, listAt: now}
 	s.rng.next()
 	s.share = int(cl.ColdBears / float64(max(1, cl.Schedulers)))
-	for i, name := range cl.Report {
-		switch name {
-		case "x0":
-			s.x0 = i
-		case "x1":
-			s.x1 = i
-		}
-	}
 	for _, jt := range cl.JobTypes {
 		j := job{JobType: jt}
 		j.starts.add(jt.Target)
@@ -212,8 +191,6 @@
 	return s
 }
 
-// ---- the node list
-
 func (s *Scheduler) ListBegin(now float64, kind ListKind) {
 	s.now, s.listKind = now, kind
 	s.page++
@@ -293,14 +270,19 @@
 
 // measure takes a report of what nobody has asked for, measured at the given time.
 func (s *Scheduler) measure(nd *node, freeCores, freeMemory, at float64) {
-	if at < nd.measured {
-		return
+	if at >= nd.measured {
+		nd.free, nd.measured, nd.known = [2]float64{freeCores, freeMemory}, at, true
 	}
-	nd.free, nd.measured, nd.known = [2]float64{freeCores, freeMemory}, at, true
 }
 
 func (s *Scheduler) report(nd *node, report []float64) {
-	if s.x0 < 0 || s.x1 < 0 || s.x0 >= len(report) || s.x1 >= len(report) {
+	if s.busy >= 0 && s.busy < len(report) {
+		nd.busy, nd.busyAt = report[s.busy], s.now
+	}
+	if s.line >= 0 && s.line < len(report) {
+		nd.line, nd.busyAt = report[s.line], s.now
+	}
+	if min(s.x0, s.x1) < 0 || max(s.x0, s.x1) >= len(report) {
 		return
 	}
 	c, m := report[s.x0], report[s.x1]
@@ -330,9 +312,7 @@
 	return max(cores, nd.held[0]), max(memory, nd.held[1])
 }
 
-// ---- allocations in
-
-func (s *Scheduler) take(id uint32, jobType, tenant int, svcKey uint64, cores, memory float64) int {
+func (s *Scheduler) take(id uint32, jobType int, svcKey uint64, cores, memory float64) int {
 	v, ok := s.svcAt[svcKey]
 	if !ok {
 		v, s.freeSvc, s.svcs = slot(s.freeSvc, s.svcs)
@@ -343,7 +323,7 @@
 	var i int
 	i, s.freeAlloc, s.allocs = slot(s.freeAlloc, s.allocs)
 	s.arrivals++
-	s.allocs[i] = alloc{id: id, job: jobType, tenant: tenant, svc: v, cores: cores, memory: memory,
+	s.allocs[i] = alloc{id: id, job: jobType, svc: v, cores: cores, memory: memory,
 		arrival: s.arrivals, nd: -1, doubtNd: -1}
 	s.allocAt[id] = i
 	return i
@@ -374,10 +354,10 @@
 	s.freeAlloc = append(s.freeAlloc, i)
 }
 
-func (s *Scheduler) Allocate(now float64, id uint32, jobType, tenant int, expiry float64, svcKey uint64,
+func (s *Scheduler) Allocate(now float64, id uint32, jobType, _ int, expiry float64, svcKey uint64,
 	cores, memory float64) {
 	s.now = now
-	i := s.take(id, jobType, tenant, svcKey, cores, memory)
+	i := s.take(id, jobType, svcKey, cores, memory)
 	s.allocs[i].expiry = expiry - 2*s.cl.Step // the answer is there before the owner's time is up
 	if size := s.size(cores, memory); size >= large && cores+memory > s.big[0]+s.big[1] {
 		s.big = [2]float64{cores, memory}
@@ -388,14 +368,14 @@
 	s.scanAt = now
 }
 
-func (s *Scheduler) Found(now float64, id uint32, jobType, tenant int, svcKey uint64, cores, memory float64,
+func (s *Scheduler) Found(now float64, id uint32, jobType, _ int, svcKey uint64, cores, memory float64,
 	nodeID uint32) {
 	s.now = now
 	n, ok := s.nodeAt[nodeID]
 	if !ok {
 		return
 	}
-	i := s.take(id, jobType, tenant, svcKey, cores, memory)
+	i := s.take(id, jobType, svcKey, cores, memory)
 	a := &s.allocs[i]
 	a.tries, a.out, a.placed, a.over, a.nd, a.sentAt = 1, true, true, true, n, now
 	s.place(a, 1)
@@ -425,8 +405,6 @@
 	}
 }
 
-// ---- the chain
-
 // Decide sends what waits along the chain, the most valuable first.
 func (s *Scheduler) Decide(now float64) {
 	s.now = now
@@ -458,24 +436,23 @@
 	}
 }
 
-func (s *Scheduler) run(a *alloc) verdictOf {
-	for i := range chain {
-		switch chain[i].forward(s, a) {
-		case keep:
-			return keep
-		case end:
-			s.answer(a)
-			return end
-		}
+func (s *Scheduler) run(a *alloc) step {
+	v := pass
+	for i := 0; i < len(chain) && v == pass; i++ {
+		v = chain[i].forward(s, a)
 	}
-	return pass
+	if v == end {
+		s.answer(a)
+	}
+	return v
 }
 
-// worth orders those that wait: value of a second at equal size.
+// worth orders those that wait: value of a second at equal size. (A tenant's share is told for all schedulers
+// together; ordering by this scheduler's part of it did not pay, see docs/results.md.)
 func (s *Scheduler) worth(a *alloc) float64 { return s.jobs[a.job].Value }
 
 // owed ends an allocation that no try can serve any more.
-func (s *Scheduler) owed(a *alloc) verdictOf {
+func (s *Scheduler) owed(a *alloc) step {
 	if a.expiry-s.now < hopeless {
 		return end
 	}
@@ -484,36 +461,30 @@
 
 // owedBack: an allocation that came back without being placed goes on or gets its answer at once.
 func (s *Scheduler) owedBack(a *alloc, _ *node, _ Verdict, _ Reason, _ float64) {
-	if a.over {
-		return
-	}
-	if s.licence(a) == end {
+	if !a.over && s.licence(a) == end {
 		s.answer(a)
-		return
+	} else if !a.over {
+		s.waiting = append(s.waiting, s.allocAt[a.id])
+		s.scanAt = s.now
 	}
-	s.waiting = append(s.waiting, s.allocAt[a.id])
-	s.scanAt = s.now
 }
 
 // answer gives the final answer: declined where trying again does no harm, else failed.
 func (s *Scheduler) answer(a *alloc) {
 	j := &s.jobs[a.job]
-	switch {
-	case !a.doubt && !a.out, j.Effect == Restartable, j.Effect == Tokened && j.Group == GroupAll && !a.out:
+	if j.Effect == Restartable || !a.out && (!a.doubt || j.Effect == Tokened && j.Group == GroupAll) {
 		s.host.Decline(a.id, 0)
-	default:
+	} else {
 		s.host.Fail(a.id)
 	}
 	a.over = true
 }
 
 // licence says whether the job type allows another try.
-func (s *Scheduler) licence(a *alloc) verdictOf {
+func (s *Scheduler) licence(a *alloc) step {
 	j := &s.jobs[a.job]
-	if a.out || a.tries >= s.cl.MaxTries {
-		return end
-	}
-	if a.doubt && (j.Effect == RunOnce || j.Effect == Tokened && s.now >= a.doubtAt+j.Window-s.cl.Step) {
+	late := j.Effect == Tokened && s.now >= a.doubtAt+j.Window-s.cl.Step
+	if a.out || a.tries >= s.cl.MaxTries || a.doubt && (j.Effect == RunOnce || late) {
 		return end
 	}
 	return pass
@@ -521,10 +492,7 @@
 
 // licenceBack notes a try that may have run. Only three outcomes prove that it never did.
 func (s *Scheduler) licenceBack(a *alloc, _ *node, v Verdict, _ Reason, _ float64) {
-	if v == Refused || v == Unreached || v == Unsent {
-		return
-	}
-	if !a.doubt {
+	if v != Refused && v != Unreached && v != Unsent && !a.doubt {
 		a.doubt, a.doubtAt, a.doubtNd = true, a.sentAt, a.nd
 	}
 }
@@ -532,7 +500,7 @@
 // choice draws the node: the design's filters, net benefit, and a uniform draw among the best. Only nodes of
 // the least flaw are in the draw: sound ones, else those where a small allocation would break the room for a
 // large one, else empty ones that are shut, else ill ones, so that no flaw alone filters out every node.
-func (s *Scheduler) choice(a *alloc) verdictOf {
+func (s *Scheduler) choice(a *alloc) step {
 	kept, least := s.scores[:0], math.MaxInt
 	for i := range s.nodes {
 		nd := &s.nodes[i]
@@ -542,8 +510,10 @@
 		flaw := 0
 		switch {
 		case nd.ill:
-			flaw = 3
+			flaw = 4
 		case nd.shut:
+			flaw = 3
+		case s.tight(a, nd):
 			flaw = 2
 		case s.breaks(a, nd):
 			flaw = 1
@@ -570,11 +540,10 @@
 		return false
 	}
 	if s.now < nd.recentUntil || nd.heard < 0 {
-		if s.now < s.born+s.cl.FallWindow+reportLag && s.now < nd.recentUntil {
-			return false // what was sent before a restart is forgotten but still counts
-		}
-		nd.offers = slices.DeleteFunc(nd.offers, func(t float64) bool { return t < s.now-s.cl.FallWindow-reportLag })
-		if len(nd.offers) >= s.share {
+		from := s.now - s.cl.FallWindow - reportLag
+		nd.offers = slices.DeleteFunc(nd.offers, func(t float64) bool { return t < from })
+		// What was sent before a restart of this scheduler is forgotten but still counts.
+		if len(nd.offers) >= s.share || s.now < nd.recentUntil && from < s.born {
 			return false
 		}
 	}
@@ -582,7 +551,7 @@
 		return true
 	}
 	c, m := s.taken(nd)
-	return c+a.cores <= nd.cores*s.cl.CoresLimit+noRoom && m+a.memory <= nd.memory*s.cl.MemoryLimit+noRoom
+	return c+a.cores <= nd.cores*s.cl.CoresLimit && m+a.memory <= nd.memory*s.cl.MemoryLimit
 }
 
 // permits holds the filters that do not change while an allocation waits: kind, its group, spread.
@@ -665,10 +634,14 @@
 func (s *Scheduler) usage(nd *node, a *alloc) float64 {
 	u := s.load(nd, a)
 	u += steep * max(0, u-easyUse)
-	if s.now-nd.pressedAt < 2000 {
+	if s.now-nd.pressedAt < pressedFor {
 		u = max(u, nd.pressed)
 	}
-	return u + lineShare*float64(len(nd.unanswered))
+	line := float64(len(nd.unanswered))
+	if s.now-nd.busyAt < pressedFor {
+		u, line = max(u, nd.busy), max(line, nd.line)
+	}
+	return u + lineShare*line
 }
 
 // survey finds the mean load and, where machines in use have a price, shuts those beyond what all tasks need,
@@ -695,7 +668,13 @@
 	}
 }
 
-// breaks tells whether a small allocation would take from a node the room for a large one of a kind seen here.
+// tight tells whether a node's memory in use would come near the point where it evicts.
+func (s *Scheduler) tight(a *alloc, nd *node) bool {
+	_, used := s.inUse(nd, a)
+	return nd.known && used > memoryTop*nd.memory
+}
+
+// breaks tells whether a small allocation would take from a node the room for the largest one seen.
 func (s *Scheduler) breaks(a *alloc, nd *node) bool {
 	if !nd.known || a.cores+a.memory >= s.big[0]+s.big[1] {
 		return false
@@ -706,7 +685,7 @@
 }
 
 // offer sends the try.
-func (s *Scheduler) offer(a *alloc) verdictOf {
+func (s *Scheduler) offer(a *alloc) step {
 	nd := &s.nodes[a.nd]
 	left := a.expiry - s.now
 	wait := left
@@ -720,9 +699,7 @@
 	s.place(a, 1)
 	s.act(nd, s.now, a.cores, a.memory)
 	nd.unanswered = append(nd.unanswered, s.allocAt[a.id])
-	if s.now < nd.recentUntil || nd.heard < 0 {
-		nd.offers = append(nd.offers, s.now)
-	}
+	nd.offers = append(nd.offers[max(0, len(nd.offers)-s.share):], s.now) // before news of a start too
 	s.host.Offer(a.id, nd.id, wait)
 	return pass
 }
@@ -777,9 +754,9 @@
 	}
 }
 
-// believe takes a refusal as the freshest report there is: just under what was asked is free. Reports measured
-// before it are older news. It guards against sending try after try where late reports still show room; it
-// could hold a small scheduler off a node that has just emptied, for one report.
+// believe takes a refusal as the freshest report: just under what was asked is free, and older reports are old
+// news. It guards against try after try where late reports still show room; it could hold a small scheduler off
+// a node that has just emptied, for one report.
 func (s *Scheduler) believe(nd *node, a *alloc, why Reason) {
 	c, m := s.taken(nd)
 	if why == NoCores {
@@ -803,8 +780,6 @@
 	}
 }
 
-// ---- news of tries
-
 func (s *Scheduler) Started(now float64, id uint32, try uint8, took float64) {
 	s.now = now
 	i, ok := s.allocAt[id]
@@ -821,8 +796,8 @@
 	s.jobs[a.job].starts.add(took)
 }
 
-func (s *Scheduler) Settled(now float64, id uint32, nodeID uint32, try uint8, took float64, over bool, why Reason,
-	verdict Verdict, report []float64) {
+func (s *Scheduler) Settled(now float64, id uint32, nodeID uint32, try uint8, took float64, over bool,
+	why Reason, verdict Verdict, report []float64) {
 	s.now = now
 	if n, ok := s.nodeAt[nodeID]; ok {
 		s.report(&s.nodes[n], report)
@@ -907,8 +882,6 @@
 	}
 }
 
-// ---- time
-
 func (s *Scheduler) Woken(now float64, key uint64) {
 	s.now = now
 	switch key {
@@ -985,8 +958,6 @@
 	}
 }
 
-// ---- measures and chance
-
 // bins counts durations in a few coarse bins, each twice as wide as the one before, halved from time to time.
 type bins struct {
 	n   [8]float64
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -248,7 +248,7 @@
 	for id := range uint32(2) { // the service runs on node 10 and on node 14, zones 0 and 1
 		x.s.Found(x.now, id, 0, 0, 5, 1, 2, 10+4*id)
 	}
-	a := &x.s.allocs[x.s.take(9, 0, 0, 5, 1, 2)]
+	a := &x.s.allocs[x.s.take(9, 0, 5, 1, 2)]
 	for _, c := range []struct {
 		name string
 		nd   int
