--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,7 +24,7 @@
 const (
 	drawK         = 2    // machines in the draw at most; no more than schedulers that could meet there
 	gPlain        = 0.02 // weight of diversity beside a usage of 0 to 1
-	gHeld         = 0.3  // the same where the machine holds the service's program, so that it starts at once
+	gHeld         = 0.6  // the same where the machine holds the service's program, so that it starts at once
 	lineShare     = 0.05 // usage that an unanswered own offer stands for: starts queue behind it
 	reportLag     = 500  // a report was measured about so long before it arrives
 	listLag       = 4000 // and a list entry
