Homes for large allocations while room is short

While 0.6 of all room is asked for, and nodes push nothing out, twice the large ones' part of the nodes, those of the lowest ids, are kept from less valuable small allocations. It also helps any job type that few nodes can take; harm: small ones wait though the homes have room.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -9,7 +9,7 @@
 //  3. waiting: without room the most valuable goes first; a node has a window of own unanswered offers
 //  4. pacing: a recent node gets this scheduler's share of what a cold node bears
 //  5. probing: one probe an allocation at most, the oldest report first
-//  6. flaws: ill nodes, machines beyond need, those near eviction and the room for large ones are drawn last
+//  6. flaws: ill nodes, machines beyond need, those near eviction, room and homes of large ones: drawn last
 package logic
 
 import (
@@ -32,6 +32,7 @@
 	steep         = 3    // and the rent rises so much faster
 	openAt        = 0.75 // mean load up to which machines in use are filled, where they have a price
 	growFor       = 8000 // memory use grows for so long after a start
+	homesFrom     = 0.6  // part of all room asked for, from which large allocations have homes
 	pressedFor    = 2000 // a note of pressure on a node holds so long
 	memoryTop     = 0.9  // share of its memory that a node may be expected to use
 	large         = 4    // mean sizes from which room for an allocation is kept whole
@@ -86,7 +87,6 @@
 	job, svc          int
 	cores, memory     float64
 	expiry            float64
-	arrival           uint64
 	tries             int
 	nd                int        // of the try that is out, or where it is placed
 	sentAt            float64    // of that try
@@ -102,25 +102,25 @@
 type change struct{ at, cores, memory float64 }
 
 type node struct {
-	id                        uint32
-	zone, cell, kind          int
-	cores, memory             float64
-	avail                     Availability
-	page                      int     // the list that last named it
-	since, heard              float64 // its start, the last word of it
-	recentUntil               float64 // just started or returned: ranks average, paced
-	offers                    []float64
-	free                      [2]float64 // cores, memory not asked for, as measured at that time
-	measured                  float64
-	acts                      []change
-	held, own                 [2]float64 // asked by this scheduler's own, and in use by them
-	unanswered                []int      // allocs with a try out
-	past                      uint       // last outcomes, a bit each, 1 for a success
-	known, ill, shut, probing bool
-	probedAt, restUntil       float64
-	window                    float64 // own offers that may be unanswered there at once
-	pressed, pressedAt        float64 // pressure told by notes, as usage
-	busy, line, busyAt        float64 // cores busy and offers waiting, as reported
+	id                              uint32
+	zone, cell, kind                int
+	cores, memory                   float64
+	avail                           Availability
+	page                            int     // the list that last named it
+	since, heard                    float64 // its start, the last word of it
+	recentUntil                     float64 // just started or returned: ranks average, paced
+	offers                          []float64
+	free                            [2]float64 // cores, memory not asked for, as measured at that time
+	measured                        float64
+	acts                            []change
+	held, own                       [2]float64 // asked by this scheduler's own, and in use by them
+	unanswered                      []int      // allocs with a try out
+	past                            uint       // last outcomes, a bit each, 1 for a success
+	known, ill, shut, home, probing bool
+	probedAt, restUntil             float64
+	window                          float64 // own offers that may be unanswered there at once
+	pressed, pressedAt              float64 // pressure told by notes, as usage
+	busy, line, busyAt              float64 // cores busy and offers waiting, as reported
 }
 
 type hold struct{ nd, n int }
@@ -139,30 +139,31 @@
 
 // Scheduler is the decision module of one scheduler.
 type Scheduler struct {
-	host                        Host
-	rng                         pcg
-	now, born                   float64
-	cl                          *Cluster
-	jobs                        []job
-	share                       int // offers that this scheduler may send to a cold node within the window
-	x0, x1, busy, line          int // places in a report, or -1
-	nodes                       []node
-	allocs                      []alloc
-	svcs                        []service
-	nodeAt, allocAt             map[uint32]int
-	svcAt                       map[uint64]int
-	freeAlloc, freeSvc, waiting []int
-	arrivals                    uint64
-	page, fails                 int
-	listKind                    ListKind
-	listAt, callAt              float64 // the last news, and when to call for the list again (0 never)
-	credit                      float64 // probes that own allocations have paid for
-	used, asked                 [2]float64
-	scanSet, short              bool
-	scanAt                      float64
-	scores, byLoad              []scored
-	mean                        float64    // load
-	big                         [2]float64 // cores and memory of the largest allocation seen
+	host                              Host
+	rng                               pcg
+	now, born                         float64
+	cl                                *Cluster
+	jobs                              []job
+	share                             int // offers that this scheduler may send to a cold node within the window
+	x0, x1, busy, line                int // places in a report, or -1
+	nodes                             []node
+	allocs                            []alloc
+	svcs                              []service
+	nodeAt, allocAt                   map[uint32]int
+	svcAt                             map[uint64]int
+	freeAlloc, freeSvc, waiting, byID []int
+	page, fails                       int
+	listKind                          ListKind
+	listAt, callAt                    float64 // the last news, and when to call for the list again
+	credit                            float64 // probes that own allocations have paid for
+	used, asked                       [2]float64
+	scanSet, short                    bool
+	scanAt                            float64
+	scores, byLoad                    []scored
+	mean                              float64    // load
+	big, bigPart                      [2]float64 // the largest seen; memory that large ones and all ask
+	bigValue                          float64    // and its job type's value and kind
+	bigKind                           int
 }
 
 type scored struct {
@@ -173,7 +174,7 @@
 // New starts a scheduler that knows nothing yet; its last list comes next.
 func New(host Host, now float64, seed uint64, cl *Cluster) *Scheduler {
 	s := &Scheduler{host: host, rng: pcg{seed}, now: now, born: now, cl: cl,
-		x0: slices.Index(cl.Report, "x0"), x1: slices.Index(cl.Report, "x1"),
+		bigPart: [2]float64{0, 1}, x0: slices.Index(cl.Report, "x0"), x1: slices.Index(cl.Report, "x1"),
 		busy: slices.Index(cl.Report, "cpu"), line: slices.Index(cl.Report, "waiting"),
 		nodeAt: map[uint32]int{}, allocAt: map[uint32]int{}, svcAt: map[uint64]int{}, listAt: now}
 	s.rng.next()
@@ -184,9 +185,7 @@
 		s.jobs = append(s.jobs, j)
 	}
 	s.asked, s.used = [2]float64{20, 20}, [2]float64{12, 14} // a weak first guess of use
-	if cl.AsksForList {
-		s.callAt = now + s.rng.float()*followFirst
-	}
+	s.callAt = now + s.rng.float()*followFirst
 	host.Wake(tickEvery*s.rng.float(), keyTick)
 	return s
 }
@@ -206,6 +205,8 @@
 		i = len(s.nodes)
 		s.nodeAt[id] = i
 		s.nodes = append(s.nodes, node{id: id, avail: Gone, heard: -1})
+		s.byID = append(s.byID, i)
+		slices.SortFunc(s.byID, func(x, y int) int { return cmp.Compare(s.nodes[x].id, s.nodes[y].id) })
 	}
 	nd := &s.nodes[i]
 	fresh := !ok && s.listKind != ListCached || nd.avail == Gone && ok || since > nd.since && ok
@@ -242,9 +243,7 @@
 func (s *Scheduler) ListEnd(now float64) {
 	if s.listKind == ListFailed {
 		s.fails++
-		if s.cl.AsksForList {
-			s.callAt = now + followAgain*float64(min(s.fails, 4))*(0.5+s.rng.float())
-		}
+		s.callAt = now + followAgain*float64(min(s.fails, 4))*(0.5+s.rng.float())
 		if s.fails == 1 {
 			s.host.Log(fmt.Sprintf("list: call failed, %.1f s after the last news", (now-s.listAt)/1000))
 		}
@@ -255,9 +254,7 @@
 			s.host.Log(fmt.Sprintf("list: back after %d failed calls, %.1f s", s.fails, (now-s.listAt)/1000))
 		}
 		s.fails, s.listAt = 0, now
-		if s.cl.AsksForList {
-			s.callAt = now + s.cl.AskEvery*0.7 // silence on a watch: ask again well before it counts as told
-		}
+		s.callAt = now + s.cl.AskEvery*0.7 // silence on a watch: ask again well before it counts as told
 	}
 	if s.listKind != ListChanges {
 		for i := range s.nodes {
@@ -322,9 +319,7 @@
 	s.svcs[v].refs++
 	var i int
 	i, s.freeAlloc, s.allocs = slot(s.freeAlloc, s.allocs)
-	s.arrivals++
-	s.allocs[i] = alloc{id: id, job: jobType, svc: v, cores: cores, memory: memory,
-		arrival: s.arrivals, nd: -1, doubtNd: -1}
+	s.allocs[i] = alloc{id: id, job: jobType, svc: v, cores: cores, memory: memory, nd: -1, doubtNd: -1}
 	s.allocAt[id] = i
 	return i
 }
@@ -359,8 +354,11 @@
 	s.now = now
 	i := s.take(id, jobType, svcKey, cores, memory)
 	s.allocs[i].expiry = expiry - 2*s.cl.Step // the answer is there before the owner's time is up
-	if size := s.size(cores, memory); size >= large && cores+memory > s.big[0]+s.big[1] {
-		s.big = [2]float64{cores, memory}
+	s.bigPart[1] += memory
+	if (cores/s.cl.MeanCores+memory/s.cl.MeanMemory)/2 >= large { // of mean sizes
+		s.bigPart[0] += memory
+		s.big, s.bigKind = [2]float64{max(cores, s.big[0]), max(memory, s.big[1])}, s.jobs[jobType].Kind
+		s.bigValue = s.jobs[jobType].Value
 	}
 	s.waiting = append(s.waiting, i)
 	s.host.Wake(s.allocs[i].expiry-now, keyAlloc+uint64(id))
@@ -381,11 +379,6 @@
 	s.place(a, 1)
 }
 
-// size is the mean of an allocation's cores and memory over what is usual here.
-func (s *Scheduler) size(cores, memory float64) float64 {
-	return (cores/s.cl.MeanCores + memory/s.cl.MeanMemory) / 2
-}
-
 // place counts an allocation in (+1) or out (-1) of its node and of its service's machines.
 func (s *Scheduler) place(a *alloc, by int) {
 	nd := &s.nodes[a.nd]
@@ -413,7 +406,7 @@
 	}
 	slices.SortFunc(s.waiting, func(x, y int) int {
 		a, b := &s.allocs[x], &s.allocs[y]
-		return cmp.Or(cmp.Compare(s.worth(b), s.worth(a)), cmp.Compare(a.arrival, b.arrival))
+		return cmp.Or(cmp.Compare(s.worth(b), s.worth(a)), cmp.Compare(a.expiry, b.expiry), cmp.Compare(a.id, b.id))
 	})
 	s.survey()
 	left := s.waiting[:0]
@@ -536,7 +529,8 @@
 
 // admits holds the design's filters and the guards that the rules need at each send.
 func (s *Scheduler) admits(a *alloc, i int, nd *node) bool {
-	if s.now < nd.restUntil || float64(len(nd.unanswered)) >= nd.window || !s.permits(a, i, nd) {
+	if s.now < nd.restUntil || float64(len(nd.unanswered)) >= nd.window || !s.permits(a, i, nd) ||
+		nd.home && nd.known && s.jobs[a.job].Value < s.bigValue && s.breaks(a, nd) {
 		return false
 	}
 	if s.now < nd.recentUntil || nd.heard < 0 {
@@ -644,17 +638,22 @@
 	return u + lineShare*line
 }
 
-// survey finds the mean load and, where machines in use have a price, shuts those beyond what all tasks need,
-// the least loaded first: as they get nothing new they empty, and stay last.
+// survey finds the mean load and two kinds of nodes that small allocations are to leave alone. Where machines
+// in use have a price, those beyond what all need are shut, the least loaded first: they get nothing new,
+// empty, and stay last. While room is short and nodes push nothing out, large ones have homes: twice their
+// part of the nodes, those of the lowest ids, so that all schedulers choose the same.
 func (s *Scheduler) survey() {
 	s.byLoad, s.mean = s.byLoad[:0], 0
-	var need, have [2]float64
+	var need, have, asked, room [2]float64
 	for i := range s.nodes {
 		if nd := &s.nodes[i]; nd.avail == Ready && nd.known {
 			s.byLoad = append(s.byLoad, scored{i, s.load(nd, nil)})
 			s.mean += s.byLoad[len(s.byLoad)-1].score
 			c, m := s.inUse(nd, nil)
-			need[0], need[1] = need[0]+c, need[1]+m
+			need = [2]float64{need[0] + c, need[1] + m}
+			c, m = s.taken(nd)
+			asked = [2]float64{asked[0] + c, asked[1] + m}
+			room = [2]float64{room[0] + nd.cores*s.cl.CoresLimit, room[1] + nd.memory*s.cl.MemoryLimit}
 		}
 	}
 	s.mean /= max(1, float64(len(s.byLoad)))
@@ -666,6 +665,16 @@
 			have[0], have[1] = have[0]+nd.cores, have[1]+nd.memory
 		}
 	}
+	homes := 0.0
+	if !s.cl.Displaces && (asked[0] > homesFrom*room[0] || asked[1] > homesFrom*room[1]) {
+		homes = 2 * s.bigPart[0] / s.bigPart[1] * float64(len(s.byLoad))
+	}
+	for _, i := range s.byID {
+		nd := &s.nodes[i]
+		if nd.home = homes >= 0.5 && nd.avail == Ready && (s.bigKind < 0 || s.bigKind == nd.kind); nd.home {
+			homes--
+		}
+	}
 }
 
 // tight tells whether a node's memory in use would come near the point where it evicts.
@@ -674,14 +683,15 @@
 	return nd.known && used > memoryTop*nd.memory
 }
 
-// breaks tells whether a small allocation would take from a node the room for the largest one seen.
+// breaks tells whether a small allocation would take from a node the room for the largest one seen: room that
+// is there now or, on the homes of large ones, that all schedulers let grow.
 func (s *Scheduler) breaks(a *alloc, nd *node) bool {
 	if !nd.known || a.cores+a.memory >= s.big[0]+s.big[1] {
 		return false
 	}
 	c, m := s.taken(nd)
 	c, m = nd.cores*s.cl.CoresLimit-c, nd.memory*s.cl.MemoryLimit-m
-	return c >= s.big[0] && m >= s.big[1] && (c-a.cores < s.big[0] || m-a.memory < s.big[1])
+	return (nd.home || c >= s.big[0] && m >= s.big[1]) && (c-a.cores < s.big[0] || m-a.memory < s.big[1])
 }
 
 // offer sends the try.
@@ -754,9 +764,9 @@
 	}
 }
 
-// believe takes a refusal as the freshest report: just under what was asked is free, and older reports are old
-// news. It guards against try after try where late reports still show room; it could hold a small scheduler off
-// a node that has just emptied, for one report.
+// believe takes a refusal as the freshest report: just under what was asked is free, older reports void. It
+// guards against try after try where late reports still show room, and could hold a scheduler off a node that
+// has just emptied, for one report.
 func (s *Scheduler) believe(nd *node, a *alloc, why Reason) {
 	c, m := s.taken(nd)
 	if why == NoCores {
@@ -815,12 +825,8 @@
 	for x := len(chain) - 1; x >= 0; x-- {
 		chain[x].back(s, a, nd, verdict, why, took)
 	}
-	if a.over {
-		s.drop(i)
-	}
-	if len(s.waiting) > 0 {
-		s.scanAt = min(s.scanAt, now+scanEvery/4)
-	}
+	s.drop(i)
+	s.scanAt = min(s.scanAt, now+scanEvery/4)
 }
 
 // Noted learns what own tasks use and where they are pressed.
@@ -834,10 +840,7 @@
 	a, nd := &s.allocs[i], &s.nodes[n]
 	switch kind {
 	case CoresUsed, MemoryUsed:
-		x, asked := int(kind-CoresUsed), a.cores
-		if kind == MemoryUsed {
-			asked = a.memory
-		}
+		x := int(kind - CoresUsed)
 		if !a.out {
 			return
 		}
@@ -847,7 +850,7 @@
 		nd.own[x] += value - a.use[x]
 		a.use[x] = value
 		s.used[x] = s.used[x]*0.998 + value
-		s.asked[x] = s.asked[x]*0.998 + asked
+		s.asked[x] = s.asked[x]*0.998 + [2]float64{a.cores, a.memory}[x]
 	case ServedShare:
 		nd.pressed, nd.pressedAt = 2-value, now
 	case NodeMemory:
@@ -928,7 +931,7 @@
 		}
 	}
 	s.refresh()
-	if s.callAt > 0 && s.now >= s.callAt {
+	if s.cl.AsksForList && s.now >= s.callAt {
 		s.callAt = s.now + 2*followAgain*(1+s.rng.float())
 		s.host.Follow(true)
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -322,6 +322,54 @@
 	}
 }
 
+// While room is short, less valuable small allocations stay off the homes of large ones; else they may go there.
+func TestHomes(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		free    float64 // memory not asked for on each node
+		jobType int
+		used    bool // whether node 10, the home, takes small ones
+	}{{"room", 75, 0, true}, {"short", -10, 0, false}, {"short, more valuable", -10, 1, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			x := start(t, cluster(), 2)
+			x.s.Allocate(x.now, 99, 2, 0, x.now+5000, 7, 20, 32) // a large one is seen
+			x.s.Lapsed(x.now, 99)
+			x.s.bigPart = [2]float64{100, 400}
+			for i := range x.s.nodes {
+				x.s.Probed(x.now, uint32(10+i), Ended, 1, []float64{20, c.free})
+			}
+			for id := range uint32(2 * firstWindow) {
+				x.ask(id, c.jobType, uint64(id))
+			}
+			if got := len(x.s.nodes[0].unanswered) > 0; got != c.used {
+				t.Errorf("home used: %t", got)
+			}
+		})
+	}
+}
+
+// Only where no other will do is a node near eviction drawn.
+func TestTight(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		other float64 // memory not asked for on the other node
+		used  bool
+	}{{"another has ease", 70, false}, {"all are near it", -30, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			x := start(t, cluster(), 2)
+			x.s.used = [2]float64{10, 19}
+			x.s.Probed(x.now, 10, Ended, 1, []float64{20, -30})
+			x.s.Probed(x.now, 11, Ended, 1, []float64{20, c.other})
+			for id := range uint32(firstWindow) {
+				x.ask(id, 0, uint64(id))
+			}
+			if got := len(x.s.nodes[0].unanswered) > 0; got != c.used {
+				t.Errorf("tight node used: %t", got)
+			}
+		})
+	}
+}
+
 // A node that fails its tries or falls silent is left out and comes back by itself; if all do, work goes on.
 func TestHealth(t *testing.T) {
 	for _, c := range []struct {
