--- a/logic/logic.go
+++ b/logic/logic.go
@@ -404,9 +404,8 @@
 	if len(s.waiting) == 0 || now < s.scanAt {
 		return
 	}
-	slices.SortFunc(s.waiting, func(x, y int) int {
-		a, b := &s.allocs[x], &s.allocs[y]
-		return cmp.Or(cmp.Compare(s.worth(b), s.worth(a)), cmp.Compare(a.expiry, b.expiry), cmp.Compare(a.id, b.id))
+	slices.SortStableFunc(s.waiting, func(x, y int) int { // among equals in order of arrival
+		return cmp.Compare(s.worth(&s.allocs[y]), s.worth(&s.allocs[x]))
 	})
 	s.survey()
 	left := s.waiting[:0]
