Slow starts narrow a node's window of own offers

A start past the target delay now narrows it by half an offer. It covers any cause of slow starts; harm: fewer offers reach a slow but sound node.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,6 +46,7 @@
 	illProbe      = 1000 // between two probes of an ill node
 	firstWindow   = 6    // own offers unanswered at a node at once, halved when its line is too long
 	mostWindow    = 16   // and growing by one for so many starts
+	slowCut       = 0.5  // by which a start past the target delay narrows it
 	lineRest      = 250  // a node whose line is too long rests
 	outcomes      = 4    // last outcomes that judge a node
 	illBelow      = 3    // fewer successes among them and it is ill
@@ -731,7 +732,6 @@
 	}
 }
 
-// heardOf strikes a try from its node's unanswered ones.
 func (s *Scheduler) heardOf(a *alloc, nd *node) {
 	nd.unanswered = slices.DeleteFunc(nd.unanswered, func(i int) bool { return s.allocs[i].id == a.id })
 }
@@ -798,7 +798,9 @@
 	a := &s.allocs[i]
 	nd := &s.nodes[a.nd]
 	s.heardOf(a, nd)
-	nd.window = min(nd.window+1/nd.window, mostWindow)
+	if nd.window = min(nd.window+1/nd.window, mostWindow); took > s.jobs[a.job].Target {
+		nd.window = max(1, nd.window-slowCut) // guards against lines of starts, whatever made them
+	}
 	a.placed, a.over = true, true
 	nd.heard = now
 	s.judge(nd, true)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -279,6 +279,11 @@
 				x.s.Started(x.now, id, 0, 100)
 			}
 		}, firstWindow},
+		{"slow starts", func(x *bench) {
+			for id := range uint32(firstWindow) {
+				x.s.Started(x.now, id, 0, 2000)
+			}
+		}, firstWindow - 3},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			x := start(t, cluster(), 1)
