--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -406,6 +406,65 @@
 	}
 }
 
+// A node that takes offers and answers nothing is left out before its tries run out, and comes back on a probe.
+func TestSilence(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		quiet float64
+		ill   bool
+	}{{"answers soon", 500, false}, {"silent", 4000, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			cl := cluster()
+			cl.ReportsCome = true
+			x := start(t, cl, 2)
+			x.ask(1, 0, 5)
+			nd := &x.s.nodes[x.s.nodeAt[x.b.last()]]
+			x.pass(c.quiet)
+			if c.ill {
+				x.s.Probed(x.now, nd.id, Unreached, 250, nil)
+			}
+			if nd.ill != c.ill {
+				t.Errorf("ill: %t", nd.ill)
+			}
+			x.pass(1200)
+			x.s.Probed(x.now, nd.id, Ended, 1, nil)
+			if nd.ill {
+				t.Error("a node that answers stays ill")
+			}
+		})
+	}
+}
+
+// Under ask the list is asked for at once, again after a failure, and long before silence counts as told; a
+// watch that brings news is left alone.
+func TestAsking(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		asks  bool
+		news  ListKind
+		least int
+		most  int
+	}{{"pushed", false, ListChanges, 0, 0}, {"watch stands", true, ListChanges, 1, 1}, {"calls fail", true, ListFailed, 2, 8}} {
+		t.Run(c.name, func(t *testing.T) {
+			cl := cluster()
+			cl.AsksForList = c.asks
+			x := start(t, cl, 2)
+			for calls := 0; x.now < t0+9000; {
+				x.pass(1000)
+				if n := x.b.count("follow"); c.news == ListFailed && n == calls {
+					continue // a failure comes once for each call
+				}
+				calls = x.b.count("follow")
+				x.s.ListBegin(x.now, c.news)
+				x.s.ListEnd(x.now)
+			}
+			if n := x.b.count("follow"); n < c.least || n > c.most {
+				t.Errorf("%d calls, want %d to %d", n, c.least, c.most)
+			}
+		})
+	}
+}
+
 // The same calls and seed give the same decisions.
 func TestDeterminism(t *testing.T) {
 	var runs [2][]string
