--- a/cmd/simhost/facts.go
+++ b/cmd/simhost/facts.go
@@ -25,26 +25,21 @@
 		Discovery string
 		Family    string
 		Info      struct {
-			Priority     []int     `json:"class-priority"`
-			ColdBears    float64   `json:"cold-bears"`
-			CoresLimit   float64   `json:"cores-multiple"`
-			MemoryLimit  float64   `json:"memory-multiple"`
-			KindCores    []float64 `json:"cpu-of-kind"`
-			KindMemory   []float64 `json:"mem-of-kind"`
-			Displaces    bool      `json:"displaces"`
-			Kinds        []int     `json:"kind-by-class"`
-			ListsFree    bool      `json:"lists-free"`
-			MeanCores    float64   `json:"unit-cores"`
-			MeanMemory   float64   `json:"mean-memory"`
-			MeasuredBy   string    `json:"measured-by"`
-			Most         []int     `json:"most-together"`
-			RefusedPrice float64   `json:"refused-price"`
-			TenantCores  []float64 `json:"share-cores"`
-			Spread       []string  `json:"spread-over"`
-			StartFor     []float64 `json:"start-seconds"`
+			ColdBears   float64   `json:"cold-bears"`
+			CoresLimit  float64   `json:"cores-multiple"`
+			MemoryLimit float64   `json:"memory-multiple"`
+			KindCores   []float64 `json:"cpu-of-kind"`
+			KindMemory  []float64 `json:"mem-of-kind"`
+			Displaces   bool      `json:"displaces"`
+			Kinds       []int     `json:"kind-by-class"`
+			ListsFree   bool      `json:"lists-free"`
+			MeanCores   float64   `json:"unit-cores"`
+			MeanMemory  float64   `json:"mean-memory"`
+			MeasuredBy  string    `json:"measured-by"`
+			Most        []int     `json:"most-together"`
+			Spread      []string  `json:"spread-over"`
 		} `json:"family-info"`
 		Instances int
-		OverShare float64 `json:"over-share-worth"`
 		Limits    struct {
 			Cancel   bool
 			MaxTries int `json:"max-attempts"`
@@ -58,16 +53,14 @@
 		Rules struct {
 			AskEvery   float64 `json:"ask-every-ns"`
 			ColdFor    float64 `json:"cold-ns"`
-			Slack      float64 `json:"grace-to-answer-ns"`
 			FallWindow float64 `json:"overload-for-ns"`
 		}
 		Services []struct {
-			Target    float64 `json:"aim-ns"`
-			Effect    string
-			Group     string
-			LateWorth float64 `json:"late-worth"`
-			Window    float64 `json:"window-ns"`
-			Worth     float64
+			Target float64 `json:"aim-ns"`
+			Effect string
+			Group  string
+			Window float64 `json:"window-ns"`
+			Worth  float64
 		}
 		Step float64 `json:"step-ns"`
 	}
@@ -83,14 +76,14 @@
 	}
 	cl := &logic.Cluster{
 		Schedulers: f.Instances, AsksForList: f.Discovery == "ask", AskEvery: f.Rules.AskEvery / nsPerMs,
-		AnswerSlack: f.Rules.Slack / nsPerMs, Step: f.Step / nsPerMs, MaxTries: f.Limits.MaxTries,
+		Step: f.Step / nsPerMs, MaxTries: f.Limits.MaxTries,
 		MayRecall: f.Limits.Cancel, MayProbe: f.Limits.Probes, KindCores: f.Info.KindCores,
 		KindMemory: f.Info.KindMemory, CoresLimit: f.Info.CoresLimit, MemoryLimit: f.Info.MemoryLimit,
 		ListsFree: f.Info.ListsFree, CountsUse: f.Info.MeasuredBy == "used", Report: f.Report.Fields,
 		ReportsCome: f.Report.How == "piggyback", ColdBears: f.Info.ColdBears, ColdFor: f.Rules.ColdFor / nsPerMs,
-		FallWindow: f.Rules.FallWindow / nsPerMs, TenantCores: f.Info.TenantCores, OverShare: f.OverShare,
-		Displaces: f.Info.Displaces, MeanCores: f.Info.MeanCores, MeanMemory: f.Info.MeanMemory,
-		RefusedPrice: f.Info.RefusedPrice, FleetPrice: f.Prices.Fleet,
+		FallWindow: f.Rules.FallWindow / nsPerMs,
+		Displaces:  f.Info.Displaces, MeanCores: f.Info.MeanCores, MeanMemory: f.Info.MeanMemory,
+		FleetPrice: f.Prices.Fleet,
 	}
 	for i, c := range f.Services {
 		effect, err := word(c.Effect, "free", "guarded", "single_shot")
@@ -109,8 +102,8 @@
 		}
 		cl.JobTypes = append(cl.JobTypes, logic.JobType{
 			Effect: logic.Effect(effect), Group: logic.Group(group), Window: c.Window / nsPerMs,
-			Target: c.Target / nsPerMs, Value: c.Worth, StartFor: at(f.Info.StartFor, i, 0), LateWorth: c.LateWorth,
-			Priority: at(f.Info.Priority, i, 0), Kind: at(f.Info.Kinds, i, -1), Spread: logic.Place(spread),
+			Target: c.Target / nsPerMs, Value: c.Worth,
+			Kind: at(f.Info.Kinds, i, -1), Spread: logic.Place(spread),
 			Most: at(f.Info.Most, i, 1),
 		})
 	}
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -37,48 +37,41 @@
 
 // Cluster is what is known of a deployment at start.
 type Cluster struct {
-	Schedulers   int
-	AsksForList  bool    // the node list answers only when asked
-	AskEvery     float64 // unheard for so long, an asking scheduler counts as told
-	AnswerSlack  float64
-	Step         float64 // the least time between two rounds
-	MaxTries     int
-	MayRecall    bool
-	MayProbe     bool
-	JobTypes     []JobType
-	KindCores    []float64 // by machine kind
-	KindMemory   []float64
-	CoresLimit   float64 // a node accepts until asked for so many times its cores
-	MemoryLimit  float64
-	ListsFree    bool // list entries carry what nobody has asked for
-	CountsUse    bool // reports subtract use, not asks
-	Report       []string
-	ReportsCome  bool // inside answers, not only in probes
-	ColdBears    float64
-	ColdFor      float64
-	FallWindow   float64
-	TenantCores  []float64 // the share of each tenant, in cores over all schedulers
-	OverShare    float64   // what work beyond a share is worth
-	Displaces    bool      // nodes push out lower priorities
-	MeanCores    float64   // of an allocation of size 1
-	MeanMemory   float64
-	RefusedPrice float64
-	FleetPrice   float64 // of machines in use beyond those needed
+	Schedulers  int
+	AsksForList bool    // the node list answers only when asked
+	AskEvery    float64 // unheard for so long, an asking scheduler counts as told
+	Step        float64 // the least time between two rounds
+	MaxTries    int
+	MayRecall   bool
+	MayProbe    bool
+	JobTypes    []JobType
+	KindCores   []float64 // by machine kind
+	KindMemory  []float64
+	CoresLimit  float64 // a node accepts until asked for so many times its cores
+	MemoryLimit float64
+	ListsFree   bool // list entries carry what nobody has asked for
+	CountsUse   bool // reports subtract use, not asks
+	Report      []string
+	ReportsCome bool // inside answers, not only in probes
+	ColdBears   float64
+	ColdFor     float64
+	FallWindow  float64
+	Displaces   bool    // nodes push out lower priorities
+	MeanCores   float64 // of an allocation of size 1
+	MeanMemory  float64
+	FleetPrice  float64 // of machines in use beyond those needed
 }
 
 // JobType is one kind of work.
 type JobType struct {
-	Effect    Effect
-	Group     Group
-	Window    float64 // how long a tokened type's group remembers, from the first doubtful try
-	Target    float64 // target delay
-	Value     float64 // of one second of an allocation of mean size
-	StartFor  float64 // seconds of service that a start in time is worth
-	LateWorth float64
-	Priority  int
-	Kind      int // machine kind that it needs, or -1
-	Spread    Place
-	Most      int // allocations of a service in one such place
+	Effect Effect
+	Group  Group
+	Window float64 // how long a tokened type's group remembers, from the first doubtful try
+	Target float64 // target delay
+	Value  float64 // of one second of an allocation of mean size
+	Kind   int     // machine kind that it needs, or -1
+	Spread Place
+	Most   int // allocations of a service in one such place
 }
 
 type Effect uint8
