One reckoning of use a node in the survey; arguments that no stage reads taken out

The survey worked out what is asked of a node three times; the way back handed each stage a time that none read; the two cases of a failed try shared their end; a comment listed the flaws wrongly.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -72,7 +72,7 @@
 // stage is a link of the chain: forward on the way to a node, back with what came of the try.
 type stage struct {
 	forward func(*Scheduler, *alloc) step
-	back    func(*Scheduler, *alloc, *node, Verdict, Reason, float64)
+	back    func(*Scheduler, *alloc, *node, Verdict, Reason)
 }
 
 // chain in the order of the forward way.
@@ -453,7 +453,7 @@
 }
 
 // owedBack: an allocation that came back without being placed goes on or gets its answer at once.
-func (s *Scheduler) owedBack(a *alloc, _ *node, _ Verdict, _ Reason, _ float64) {
+func (s *Scheduler) owedBack(a *alloc, _ *node, _ Verdict, _ Reason) {
 	if !a.over && s.licence(a) == end {
 		s.answer(a)
 	} else if !a.over {
@@ -484,7 +484,7 @@
 }
 
 // licenceBack notes a try that may have run. Only three outcomes prove that it never did.
-func (s *Scheduler) licenceBack(a *alloc, _ *node, v Verdict, _ Reason, _ float64) {
+func (s *Scheduler) licenceBack(a *alloc, _ *node, v Verdict, _ Reason) {
 	if v != Refused && v != Unreached && v != Unsent && !a.doubt {
 		a.doubt, a.doubtAt, a.doubtNd = true, a.sentAt, a.nd
 	}
@@ -492,7 +492,7 @@
 
 // choice draws the node: the design's filters, net benefit, and a uniform draw among the best. Only nodes of
 // the least flaw are in the draw: sound ones, else those where a small allocation would break the room for a
-// large one, else empty ones that are shut, else ill ones, so that no flaw alone filters out every node.
+// large one, else near eviction, else shut, else ill, so that no flaw alone filters out every node.
 func (s *Scheduler) choice(a *alloc) step {
 	kept, least := s.scores[:0], math.MaxInt
 	for i := range s.nodes {
@@ -618,15 +618,11 @@
 	return nd.own[0] + s.usual(0)*c, nd.own[1] + s.usual(1)*m
 }
 
-// load is the larger share of cores or memory in use.
-func (s *Scheduler) load(nd *node, a *alloc) float64 {
-	c, m := s.inUse(nd, a)
-	return max(c/nd.cores, m/nd.memory)
-}
-
-// usage is the load, dearer near full and where tasks are pressed, with the line of own unanswered offers.
+// usage is the larger share of cores or memory in use, dearer near full and where tasks are pressed, with the
+// line of own unanswered offers.
 func (s *Scheduler) usage(nd *node, a *alloc) float64 {
-	u := s.load(nd, a)
+	c, m := s.inUse(nd, a)
+	u := max(c/nd.cores, m/nd.memory)
 	u += steep * max(0, u-easyUse)
 	if s.now-nd.pressedAt < pressedFor {
 		u = max(u, nd.pressed)
@@ -647,9 +643,10 @@
 	var need, have, asked, room [2]float64
 	for i := range s.nodes {
 		if nd := &s.nodes[i]; nd.avail == Ready && nd.known {
-			s.byLoad = append(s.byLoad, scored{i, s.load(nd, nil)})
-			s.mean += s.byLoad[len(s.byLoad)-1].score
 			c, m := s.inUse(nd, nil)
+			load := max(c/nd.cores, m/nd.memory)
+			s.byLoad = append(s.byLoad, scored{i, load})
+			s.mean += load
 			need = [2]float64{need[0] + c, need[1] + m}
 			c, m = s.taken(nd)
 			asked = [2]float64{asked[0] + c, asked[1] + m}
@@ -720,7 +717,7 @@
 }
 
 // offerBack takes the try off its node's counts.
-func (s *Scheduler) offerBack(a *alloc, nd *node, v Verdict, _ Reason, _ float64) {
+func (s *Scheduler) offerBack(a *alloc, nd *node, v Verdict, _ Reason) {
 	s.place(a, -1)
 	a.out = false
 	s.heardOf(a, nd)
@@ -737,7 +734,7 @@
 }
 
 // choiceBack learns of the node from the outcome.
-func (s *Scheduler) choiceBack(a *alloc, nd *node, v Verdict, why Reason, _ float64) {
+func (s *Scheduler) choiceBack(a *alloc, nd *node, v Verdict, why Reason) {
 	if a.placed {
 		return
 	}
@@ -753,10 +750,9 @@
 		case NotHere:
 			a.tried = append(a.tried, a.nd)
 		}
-	case Unreached:
-		s.judge(nd, false)
+	case Unreached: // counts twice
 		s.judge(nd, false)
-		a.tried = append(a.tried, a.nd)
+		fallthrough
 	case TimedOut, Errored, Broken:
 		s.judge(nd, false)
 		a.tried = append(a.tried, a.nd)
@@ -824,7 +820,7 @@
 	a.over = a.over || over
 	nd := &s.nodes[a.nd]
 	for x := len(chain) - 1; x >= 0; x-- {
-		chain[x].back(s, a, nd, verdict, why, took)
+		chain[x].back(s, a, nd, verdict, why)
 	}
 	s.drop(i)
 	s.scanAt = min(s.scanAt, now+scanEvery/4)
