Cold turns, an order of nodes for each service, a draw among the equally good

Now: a cold share under one offer becomes turns of one window each; a node long up but unheard takes one offer until its first answer; a start where the program is not expected adds to the rent by the node's place in an order that the service's key gives at all schedulers alike; k is the number of nodes within 0.05 of the best, 3 at most.

--- a/cmd/simhost/facts.go
+++ b/cmd/simhost/facts.go
@@ -40,6 +40,7 @@
 			Spread      []string  `json:"spread-over"`
 		} `json:"family-info"`
 		Instances int
+		Index     int `json:"self-index"`
 		Limits    struct {
 			Cancel   bool
 			MaxTries int `json:"max-attempts"`
@@ -75,7 +76,7 @@
 			len(f.Info.KindMemory))
 	}
 	cl := &logic.Cluster{
-		Schedulers: f.Instances, AsksForList: f.Discovery == "ask", AskEvery: f.Rules.AskEvery / nsPerMs,
+		Schedulers: f.Instances, Index: f.Index, AsksForList: f.Discovery == "ask", AskEvery: f.Rules.AskEvery / nsPerMs,
 		Step: f.Step / nsPerMs, MaxTries: f.Limits.MaxTries,
 		MayRecall: f.Limits.Cancel, MayProbe: f.Limits.Probes, KindCores: f.Info.KindCores,
 		KindMemory: f.Info.KindMemory, CoresLimit: f.Info.CoresLimit, MemoryLimit: f.Info.MemoryLimit,
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -38,6 +38,7 @@
 // Cluster is what is known of a deployment at start.
 type Cluster struct {
 	Schedulers  int
+	Index       int     // of this one among them, from 0
 	AsksForList bool    // the node list answers only when asked
 	AskEvery    float64 // unheard for so long, an asking scheduler counts as told
 	Step        float64 // the least time between two rounds
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,9 +7,9 @@
 //  1. health: a node is judged by its last few outcomes and by silence; an ill one is probed, not used
 //  2. patience: a try's time-out follows the start times seen for the job type
 //  3. waiting: without room the most valuable goes first; a node has a window of own unanswered offers
-//  4. pacing: a recent node gets this scheduler's share of what a cold node bears
+//  4. pacing: a recent node gets this scheduler's share, or turn, of what a cold node bears
 //  5. probing: one probe an allocation at most, the oldest report first
-//  6. flaws: ill nodes, machines beyond need, those near eviction, room and homes of large ones: drawn last
+//  6. flaws: ill nodes, machines beyond need and those near eviction are drawn last; large ones have homes
 package logic
 
 import (
@@ -22,9 +22,11 @@
 
 // Tuned values. Times are milliseconds.
 const (
-	drawK         = 2    // machines in the draw at most; no more than schedulers that could meet there
+	drawK         = 3    // machines in the draw at most
+	drawWithin    = 0.05 // and net benefit within which they count as equally good
 	gPlain        = 0.02 // weight of diversity beside a usage of 0 to 1
-	gHeld         = 0.6  // the same where the machine holds the service's program, so that it starts at once
+	fetchStep     = 0.4  // usage that each place further back in a service's order of nodes stands for
+	fetchMost     = 4    // at most: a start where the program is not expected takes several times the work
 	lineShare     = 0.05 // usage that an unanswered own offer stands for: starts queue behind it
 	reportLag     = 500  // a report was measured about so long before it arrives
 	listLag       = 4000 // and a list entry
@@ -33,7 +35,7 @@
 	openAt        = 0.75 // mean load up to which machines in use are filled, where they have a price
 	growFor       = 8000 // memory use grows for so long after a start
 	homesFrom     = 0.6  // part of all room asked for, from which large allocations have homes
-	pressedFor    = 2000 // a note of pressure on a node holds so long
+	loadFor       = 2000 // busy cores and a line, as reported, count so long
 	memoryTop     = 0.9  // share of its memory that a node may be expected to use
 	large         = 4    // mean sizes from which room for an allocation is kept whole
 	keepActs      = 8000 // own binds and ends are remembered so long, beyond any lag
@@ -44,9 +46,7 @@
 	probeAge      = 400  // a younger report needs no probe
 	unaskedProbes = 32   // paid for from the start
 	illProbe      = 1000 // between two probes of an ill node
-	firstWindow   = 6    // own offers unanswered at a node at once, halved when its line is too long
-	mostWindow    = 16   // and growing by one for so many starts
-	slowCut       = 0.5  // by which a start past the target delay narrows it
+	window        = 6    // own offers unanswered at a node at once
 	lineRest      = 250  // a node whose line is too long rests
 	outcomes      = 4    // last outcomes that judge a node
 	illBelow      = 3    // fewer successes among them and it is ill
@@ -119,8 +119,6 @@
 	past                            uint       // last outcomes, a bit each, 1 for a success
 	known, ill, shut, home, probing bool
 	probedAt, restUntil             float64
-	window                          float64 // own offers that may be unanswered there at once
-	pressed, pressedAt              float64 // pressure told by notes, as usage
 	busy, line, busyAt              float64 // cores busy and offers waiting, as reported
 }
 
@@ -145,15 +143,16 @@
 	now, born                         float64
 	cl                                *Cluster
 	jobs                              []job
-	share                             int // offers that this scheduler may send to a cold node within the window
-	x0, x1, busy, line                int // places in a report, or -1
+	share                             int    // offers that this scheduler may send to a cold node within the window
+	every                             uint64 // if none, it has every so many turns; 0: never
+	x0, x1, busy, line                int    // places in a report, or -1
 	nodes                             []node
 	allocs                            []alloc
 	svcs                              []service
 	nodeAt, allocAt                   map[uint32]int
 	svcAt                             map[uint64]int
 	freeAlloc, freeSvc, waiting, byID []int
-	page, fails                       int
+	page, fails, ready                int
 	listKind                          ListKind
 	listAt, callAt                    float64 // the last news, and when to call for the list again
 	credit                            float64 // probes that own allocations have paid for
@@ -179,7 +178,10 @@
 		busy: slices.Index(cl.Report, "cpu"), line: slices.Index(cl.Report, "waiting"),
 		nodeAt: map[uint32]int{}, allocAt: map[uint32]int{}, svcAt: map[uint64]int{}, listAt: now}
 	s.rng.next()
-	s.share = int(cl.ColdBears / float64(max(1, cl.Schedulers)))
+	s.share = int(cl.ColdBears) / max(1, cl.Schedulers)
+	if half := int(cl.ColdBears) / 2; half > 0 {
+		s.every = uint64(cl.Schedulers+half-1) / uint64(half)
+	}
 	for _, jt := range cl.JobTypes {
 		j := job{JobType: jt}
 		j.starts.add(jt.Target)
@@ -230,7 +232,7 @@
 
 // enter takes a node into use. One that just started or came back is recent for as long as it may be cold.
 func (s *Scheduler) enter(nd *node, since float64, fresh bool) {
-	nd.past, nd.ill, nd.restUntil, nd.window = 1<<outcomes-1, false, 0, firstWindow
+	nd.past, nd.ill, nd.restUntil = 1<<outcomes-1, false, 0
 	if since > 0 { // 0: long ago
 		nd.recentUntil = max(nd.recentUntil, since+s.cl.ColdFor)
 	}
@@ -380,7 +382,7 @@
 	s.place(a, 1)
 }
 
-// place counts an allocation in (+1) or out (-1) of its node and of its service's machines.
+// place counts an allocation in or out of its node and of its service's machines.
 func (s *Scheduler) place(a *alloc, by int) {
 	nd := &s.nodes[a.nd]
 	if by > 0 {
@@ -406,7 +408,7 @@
 		return
 	}
 	slices.SortStableFunc(s.waiting, func(x, y int) int { // among equals in order of arrival
-		return cmp.Compare(s.worth(&s.allocs[y]), s.worth(&s.allocs[x]))
+		return cmp.Compare(s.jobs[s.allocs[y].job].Value, s.jobs[s.allocs[x].job].Value)
 	})
 	s.survey()
 	left := s.waiting[:0]
@@ -440,10 +442,6 @@
 	return v
 }
 
-// worth orders those that wait: value of a second at equal size. (A tenant's share is told for all schedulers
-// together; ordering by this scheduler's part of it did not pay, see docs/results.md.)
-func (s *Scheduler) worth(a *alloc) float64 { return s.jobs[a.job].Value }
-
 // owed ends an allocation that no try can serve any more.
 func (s *Scheduler) owed(a *alloc) step {
 	if a.expiry-s.now < hopeless {
@@ -491,24 +489,19 @@
 }
 
 // choice draws the node: the design's filters, net benefit, and a uniform draw among the best. Only nodes of
-// the least flaw are in the draw: sound ones, else those where a small allocation would break the room for a
-// large one, else near eviction, else shut, else ill, so that no flaw alone filters out every node.
+// the least flaw are in it: sound, else near eviction, else shut, else ill; no flaw filters out every node.
 func (s *Scheduler) choice(a *alloc) step {
 	kept, least := s.scores[:0], math.MaxInt
 	for i := range s.nodes {
-		nd := &s.nodes[i]
-		if nd.avail != Ready || !s.admits(a, i, nd) {
-			continue
-		}
-		flaw := 0
+		nd, flaw := &s.nodes[i], 0
 		switch {
+		case nd.avail != Ready || !s.admits(a, i, nd):
+			continue
 		case nd.ill:
-			flaw = 4
-		case nd.shut:
 			flaw = 3
-		case s.tight(a, nd):
+		case nd.shut:
 			flaw = 2
-		case s.breaks(a, nd):
+		case s.tight(a, nd):
 			flaw = 1
 		}
 		if flaw < least {
@@ -523,29 +516,49 @@
 		return keep
 	}
 	slices.SortStableFunc(kept, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
-	a.nd = kept[s.rng.below(min(drawK, s.cl.Schedulers, len(kept)))].nd
+	k := 1 // so many as are as good as the best
+	for k < min(drawK, len(kept)) && kept[k].score > kept[0].score-drawWithin {
+		k++
+	}
+	a.nd = kept[s.rng.below(k)].nd
 	return pass
 }
 
 // admits holds the design's filters and the guards that the rules need at each send.
 func (s *Scheduler) admits(a *alloc, i int, nd *node) bool {
-	if s.now < nd.restUntil || float64(len(nd.unanswered)) >= nd.window || !s.permits(a, i, nd) ||
-		nd.home && nd.known && s.jobs[a.job].Value < s.bigValue && s.breaks(a, nd) {
+	if s.now < nd.restUntil || len(nd.unanswered) >= window || !s.permits(a, i, nd) ||
+		nd.home && nd.known && s.jobs[a.job].Value < s.bigValue &&
+			!s.room(nd, a.cores+s.big[0], a.memory+s.big[1]) {
+		return false
+	}
+	if nd.heard < 0 && len(nd.unanswered) > 0 || s.now < nd.recentUntil && !s.bears(nd) {
 		return false
 	}
-	if s.now < nd.recentUntil || nd.heard < 0 {
-		from := s.now - s.cl.FallWindow - reportLag
-		nd.offers = slices.DeleteFunc(nd.offers, func(t float64) bool { return t < from })
-		// What was sent before a restart of this scheduler is forgotten but still counts.
-		if len(nd.offers) >= s.share || s.now < nd.recentUntil && from < s.born {
+	return !nd.known || s.room(nd, a.cores, a.memory)
+}
+
+// room tells whether a node accepts so much more.
+func (s *Scheduler) room(nd *node, cores, memory float64) bool {
+	c, m := s.taken(nd)
+	return c+cores <= nd.cores*s.cl.CoresLimit && m+memory <= nd.memory*s.cl.MemoryLimit
+}
+
+// bears tells whether a cold node may get one more offer. All schedulers together keep within what it bears:
+// each has its part of that in any window, lengthened for offers under way; where that is under one offer,
+// they take turns of a window each, half of what is borne to a turn, as a window may touch two turns.
+// What was sent before a restart of this scheduler is forgotten but still counts.
+func (s *Scheduler) bears(nd *node) bool {
+	span := s.cl.FallWindow + reportLag
+	from, most := s.now-span, s.share
+	if most == 0 {
+		turn := math.Floor(s.now / span)
+		if s.every == 0 || (uint64(turn)+uint64(nd.id)+uint64(s.cl.Index))%s.every != 0 {
 			return false
 		}
+		from, most = turn*span, 1
 	}
-	if !nd.known {
-		return true
-	}
-	c, m := s.taken(nd)
-	return c+a.cores <= nd.cores*s.cl.CoresLimit && m+a.memory <= nd.memory*s.cl.MemoryLimit
+	nd.offers = slices.DeleteFunc(nd.offers, func(t float64) bool { return t < from })
+	return len(nd.offers) < most && from >= s.born
 }
 
 // permits holds the filters that do not change while an allocation waits: kind, its group, spread.
@@ -591,11 +604,9 @@
 func (s *Scheduler) benefit(a *alloc, i int, mean float64) float64 {
 	nd := &s.nodes[i]
 	on := s.svcs[a.svc].on
-	g, sum := gPlain, 0.0
+	held, sum := false, 0.0
 	for _, h := range on {
-		if h.nd == i {
-			g = gHeld
-		}
+		held = held || h.nd == i
 		sum += float64(s.distance(&s.nodes[h.nd], nd, h.nd == i))
 	}
 	if len(on) > 0 {
@@ -605,7 +616,17 @@
 	if nd.known && s.now >= nd.recentUntil {
 		rent = s.usage(nd, a)
 	}
-	return g*sum - rent
+	if !held {
+		rent += min(fetchMost, fetchStep*lot(s.svcs[a.svc].key, nd.id)*float64(s.ready))
+	}
+	return gPlain*sum - rent
+}
+
+// lot gives a service's key and a node a number from 0 to 1, the same at all schedulers.
+func lot(key uint64, id uint32) float64 {
+	p := pcg{key ^ uint64(id)*0x9e3779b97f4a7c15}
+	p.next()
+	return p.float()
 }
 
 // inUse is what a node's tasks use, with one more: own tasks as told, others by the usual part of their asks.
@@ -624,11 +645,8 @@
 	c, m := s.inUse(nd, a)
 	u := max(c/nd.cores, m/nd.memory)
 	u += steep * max(0, u-easyUse)
-	if s.now-nd.pressedAt < pressedFor {
-		u = max(u, nd.pressed)
-	}
 	line := float64(len(nd.unanswered))
-	if s.now-nd.busyAt < pressedFor {
+	if s.now-nd.busyAt < loadFor {
 		u, line = max(u, nd.busy), max(line, nd.line)
 	}
 	return u + lineShare*line
@@ -639,10 +657,14 @@
 // empty, and stay last. While room is short and nodes push nothing out, large ones have homes: twice their
 // part of the nodes, those of the lowest ids, so that all schedulers choose the same.
 func (s *Scheduler) survey() {
-	s.byLoad, s.mean = s.byLoad[:0], 0
+	s.byLoad, s.mean, s.ready = s.byLoad[:0], 0, 0
 	var need, have, asked, room [2]float64
 	for i := range s.nodes {
-		if nd := &s.nodes[i]; nd.avail == Ready && nd.known {
+		nd := &s.nodes[i]
+		if nd.avail == Ready {
+			s.ready++
+		}
+		if nd.avail == Ready && nd.known {
 			c, m := s.inUse(nd, nil)
 			load := max(c/nd.cores, m/nd.memory)
 			s.byLoad = append(s.byLoad, scored{i, load})
@@ -680,17 +702,6 @@
 	return nd.known && used > memoryTop*nd.memory
 }
 
-// breaks tells whether a small allocation would take from a node the room for the largest one seen: room that
-// is there now or, on the homes of large ones, that all schedulers let grow.
-func (s *Scheduler) breaks(a *alloc, nd *node) bool {
-	if !nd.known || a.cores+a.memory >= s.big[0]+s.big[1] {
-		return false
-	}
-	c, m := s.taken(nd)
-	c, m = nd.cores*s.cl.CoresLimit-c, nd.memory*s.cl.MemoryLimit-m
-	return (nd.home || c >= s.big[0] && m >= s.big[1]) && (c-a.cores < s.big[0] || m-a.memory < s.big[1])
-}
-
 // offer sends the try.
 func (s *Scheduler) offer(a *alloc) step {
 	nd := &s.nodes[a.nd]
@@ -706,7 +717,7 @@
 	s.place(a, 1)
 	s.act(nd, s.now, a.cores, a.memory)
 	nd.unanswered = append(nd.unanswered, s.allocAt[a.id])
-	nd.offers = append(nd.offers[max(0, len(nd.offers)-s.share):], s.now) // before news of a start too
+	nd.offers = append(nd.offers[max(0, len(nd.offers)-max(1, s.share)):], s.now) // before news of a start too
 	s.host.Offer(a.id, nd.id, wait)
 	return pass
 }
@@ -746,7 +757,7 @@
 		case NoCores, NoMemory: // it has less than thought: believe it until the next report
 			s.believe(nd, a, why)
 		case LongLine:
-			nd.restUntil, nd.window = s.now+lineRest, max(1, nd.window/2)
+			nd.restUntil = s.now + lineRest
 		case NotHere:
 			a.tried = append(a.tried, a.nd)
 		}
@@ -794,9 +805,6 @@
 	a := &s.allocs[i]
 	nd := &s.nodes[a.nd]
 	s.heardOf(a, nd)
-	if nd.window = min(nd.window+1/nd.window, mostWindow); took > s.jobs[a.job].Target {
-		nd.window = max(1, nd.window-slowCut) // guards against lines of starts, whatever made them
-	}
 	a.placed, a.over = true, true
 	nd.heard = now
 	s.judge(nd, true)
@@ -848,10 +856,6 @@
 		a.use[x] = value
 		s.used[x] = s.used[x]*0.998 + value
 		s.asked[x] = s.asked[x]*0.998 + [2]float64{a.cores, a.memory}[x]
-	case ServedShare:
-		nd.pressed, nd.pressedAt = 2-value, now
-	case NodeMemory:
-		nd.pressed, nd.pressedAt = value, now
 	}
 }
 
