Probe the nodes about to be drawn; housekeeping after all news of a round

Cause: a probe an allocation refreshes a hundred nodes in minutes, so draws went by reports long out of date. Now an allocation asks the two nodes about to be drawn if their reports are over 1.5 s old and waits 150 ms at most. Housekeeping runs after all news of a round: a scheduler that stood still no longer takes nodes for silent whose answers lie behind its timers in the same pile.

--- a/logic/helper_test.go
+++ b/logic/helper_test.go
@@ -47,7 +47,7 @@
 // cluster is a deployment of three job types, one of each effect, on machines of one kind.
 func cluster() *Cluster {
 	return &Cluster{Schedulers: 2, AskEvery: 10000, Step: 2, MaxTries: 4, MayRecall: true,
-		MayProbe: true, KindCores: []float64{40, 64}, KindMemory: []float64{80, 128}, CoresLimit: 2,
+		MayProbe: true, ReportsCome: true, KindCores: []float64{40, 64}, KindMemory: []float64{80, 128}, CoresLimit: 2,
 		MemoryLimit: 1.5, ListsFree: true, Report: []string{"x0", "x1"}, ColdBears: 8, ColdFor: 10000,
 		FallWindow: 2000, MeanCores: 1, MeanMemory: 2, JobTypes: []JobType{
 			{Effect: Restartable, Target: 700, Value: 1, Kind: -1},
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -8,8 +8,8 @@
 //  2. patience: a try's time-out follows the start times seen for the job type
 //  3. waiting: without room the most valuable goes first; a node has a window of own unanswered offers
 //  4. pacing: a recent node gets this scheduler's share, or turn, of what a cold node bears
-//  5. probing: one probe an allocation at most, the oldest report first
-//  6. flaws: ill nodes, machines beyond need and those near eviction are drawn last; large ones have homes
+//  5. probing: one probe an allocation at most, for nodes about to be drawn, else for the oldest report
+//  6. flaws: ill nodes and machines beyond need are drawn last; large allocations have homes
 package logic
 
 import (
@@ -35,8 +35,6 @@
 	openAt        = 0.75 // mean load up to which machines in use are filled, where they have a price
 	growFor       = 8000 // memory use grows for so long after a start
 	homesFrom     = 0.6  // part of all room asked for, from which large allocations have homes
-	loadFor       = 2000 // busy cores and a line, as reported, count so long
-	memoryTop     = 0.9  // share of its memory that a node may be expected to use
 	large         = 4    // mean sizes from which room for an allocation is kept whole
 	keepActs      = 8000 // own binds and ends are remembered so long, beyond any lag
 	tickEvery     = 100  // housekeeping
@@ -47,6 +45,9 @@
 	unaskedProbes = 32   // paid for from the start
 	illProbe      = 1000 // between two probes of an ill node
 	window        = 6    // own offers unanswered at a node at once
+	askFirst      = 2    // nodes about to be drawn are probed first
+	askAge        = 1500 // if their reports are older
+	askFor        = 150  // and waited for so long
 	lineRest      = 250  // a node whose line is too long rests
 	outcomes      = 4    // last outcomes that judge a node
 	illBelow      = 3    // fewer successes among them and it is ill
@@ -89,11 +90,11 @@
 	cores, memory     float64
 	expiry            float64
 	tries             int
-	nd                int        // of the try that is out, or where it is placed
-	sentAt            float64    // of that try
-	use               [2]float64 // cores and memory in use, as told or as usual
-	out, placed, over bool       // a try has no outcome yet, it started, the final answer is given
-	doubt             bool       // an earlier try may have run: the first such, by time and node
+	nd                int     // of the try that is out, or where it is placed
+	sentAt            float64 // of that try
+	askedAt           float64 // when the nodes about to be drawn were probed for it
+	out, placed, over bool    // a try has no outcome yet, it started, the final answer is given
+	doubt             bool    // an earlier try may have run: the first such, by time and node
 	doubtAt           float64
 	doubtNd           int
 	tried             []int // nodes that failed it
@@ -114,12 +115,11 @@
 	free                            [2]float64 // cores, memory not asked for, as measured at that time
 	measured                        float64
 	acts                            []change
-	held, own                       [2]float64 // asked by this scheduler's own, and in use by them
+	held                            [2]float64 // asked by this scheduler's own
 	unanswered                      []int      // allocs with a try out
 	past                            uint       // last outcomes, a bit each, 1 for a success
 	known, ill, shut, home, probing bool
 	probedAt, restUntil             float64
-	busy, line, busyAt              float64 // cores busy and offers waiting, as reported
 }
 
 type hold struct{ nd, n int }
@@ -145,7 +145,7 @@
 	jobs                              []job
 	share                             int    // offers that this scheduler may send to a cold node within the window
 	every                             uint64 // if none, it has every so many turns; 0: never
-	x0, x1, busy, line                int    // places in a report, or -1
+	x0, x1                            int    // places in a report, or -1
 	nodes                             []node
 	allocs                            []alloc
 	svcs                              []service
@@ -157,7 +157,7 @@
 	listAt, callAt                    float64 // the last news, and when to call for the list again
 	credit                            float64 // probes that own allocations have paid for
 	used, asked                       [2]float64
-	scanSet, short                    bool
+	scanSet, short, tickDue           bool
 	scanAt                            float64
 	scores, byLoad                    []scored
 	mean                              float64    // load
@@ -175,7 +175,6 @@
 func New(host Host, now float64, seed uint64, cl *Cluster) *Scheduler {
 	s := &Scheduler{host: host, rng: pcg{seed}, now: now, born: now, cl: cl,
 		bigPart: [2]float64{0, 1}, x0: slices.Index(cl.Report, "x0"), x1: slices.Index(cl.Report, "x1"),
-		busy: slices.Index(cl.Report, "cpu"), line: slices.Index(cl.Report, "waiting"),
 		nodeAt: map[uint32]int{}, allocAt: map[uint32]int{}, svcAt: map[uint64]int{}, listAt: now}
 	s.rng.next()
 	s.share = int(cl.ColdBears) / max(1, cl.Schedulers)
@@ -276,12 +275,6 @@
 }
 
 func (s *Scheduler) report(nd *node, report []float64) {
-	if s.busy >= 0 && s.busy < len(report) {
-		nd.busy, nd.busyAt = report[s.busy], s.now
-	}
-	if s.line >= 0 && s.line < len(report) {
-		nd.line, nd.busyAt = report[s.line], s.now
-	}
 	if min(s.x0, s.x1) < 0 || max(s.x0, s.x1) >= len(report) {
 		return
 	}
@@ -385,13 +378,8 @@
 // place counts an allocation in or out of its node and of its service's machines.
 func (s *Scheduler) place(a *alloc, by int) {
 	nd := &s.nodes[a.nd]
-	if by > 0 {
-		a.use = [2]float64{a.cores * s.usual(0), a.memory * s.usual(1)}
-	}
 	nd.held[0] += float64(by) * a.cores
 	nd.held[1] += float64(by) * a.memory
-	nd.own[0] += float64(by) * a.use[0]
-	nd.own[1] += float64(by) * a.use[1]
 	v := &s.svcs[a.svc]
 	h := slices.IndexFunc(v.on, func(h hold) bool { return h.nd == a.nd })
 	if h < 0 {
@@ -404,6 +392,10 @@
 // Decide sends what waits along the chain, the most valuable first.
 func (s *Scheduler) Decide(now float64) {
 	s.now = now
+	if s.tickDue { // after all news of the round: one that stood still finds answers behind its timers
+		s.tickDue = false
+		s.tick()
+	}
 	if len(s.waiting) == 0 || now < s.scanAt {
 		return
 	}
@@ -489,7 +481,7 @@
 }
 
 // choice draws the node: the design's filters, net benefit, and a uniform draw among the best. Only nodes of
-// the least flaw are in it: sound, else near eviction, else shut, else ill; no flaw filters out every node.
+// the least flaw are in it: sound ones, else shut, else ill; no flaw filters out every node.
 func (s *Scheduler) choice(a *alloc) step {
 	kept, least := s.scores[:0], math.MaxInt
 	for i := range s.nodes {
@@ -498,10 +490,8 @@
 		case nd.avail != Ready || !s.admits(a, i, nd):
 			continue
 		case nd.ill:
-			flaw = 3
-		case nd.shut:
 			flaw = 2
-		case s.tight(a, nd):
+		case nd.shut:
 			flaw = 1
 		}
 		if flaw < least {
@@ -516,6 +506,9 @@
 		return keep
 	}
 	slices.SortStableFunc(kept, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
+	if s.asks(a, kept[:min(askFirst, len(kept))]) {
+		return keep
+	}
 	k := 1 // so many as are as good as the best
 	for k < min(drawK, len(kept)) && kept[k].score > kept[0].score-drawWithin {
 		k++
@@ -524,6 +517,27 @@
 	return pass
 }
 
+// asks probes those about to be drawn whose reports are old, once an allocation, and tells whether to wait for
+// them. It guards against draws on what a large fleet looked like long ago, as own allocations pay for few
+// probes; a node that does not answer in time is drawn on what is known.
+func (s *Scheduler) asks(a *alloc, best []scored) bool {
+	if s.cl.ReportsCome || !s.cl.MayProbe {
+		return false
+	}
+	first, wait := a.askedAt == 0, false
+	if first {
+		a.askedAt = s.now
+	}
+	for _, b := range best {
+		if nd := &s.nodes[b.nd]; first && s.credit >= 1 && s.now-reportLag-nd.measured > askAge && !nd.probing {
+			s.credit--
+			s.probe(nd)
+		}
+		wait = wait || s.nodes[b.nd].probing && s.now-a.askedAt < askFor
+	}
+	return wait
+}
+
 // admits holds the design's filters and the guards that the rules need at each send.
 func (s *Scheduler) admits(a *alloc, i int, nd *node) bool {
 	if s.now < nd.restUntil || len(nd.unanswered) >= window || !s.permits(a, i, nd) ||
@@ -629,27 +643,21 @@
 	return p.float()
 }
 
-// inUse is what a node's tasks use, with one more: own tasks as told, others by the usual part of their asks.
+// inUse is what a node's tasks use, with one more: the usual part of what they ask.
 func (s *Scheduler) inUse(nd *node, a *alloc) (cores, memory float64) {
 	c, m := s.taken(nd)
-	c, m = c-nd.held[0], m-nd.held[1]
 	if a != nil {
 		c, m = c+a.cores, m+a.memory
 	}
-	return nd.own[0] + s.usual(0)*c, nd.own[1] + s.usual(1)*m
+	return s.usual(0) * c, s.usual(1) * m
 }
 
-// usage is the larger share of cores or memory in use, dearer near full and where tasks are pressed, with the
-// line of own unanswered offers.
+// usage is the larger share of cores or memory in use, dearer near full, with the line of own offers.
 func (s *Scheduler) usage(nd *node, a *alloc) float64 {
 	c, m := s.inUse(nd, a)
 	u := max(c/nd.cores, m/nd.memory)
 	u += steep * max(0, u-easyUse)
-	line := float64(len(nd.unanswered))
-	if s.now-nd.busyAt < loadFor {
-		u, line = max(u, nd.busy), max(line, nd.line)
-	}
-	return u + lineShare*line
+	return u + lineShare*float64(len(nd.unanswered))
 }
 
 // survey finds the mean load and two kinds of nodes that small allocations are to leave alone. Where machines
@@ -696,12 +704,6 @@
 	}
 }
 
-// tight tells whether a node's memory in use would come near the point where it evicts.
-func (s *Scheduler) tight(a *alloc, nd *node) bool {
-	_, used := s.inUse(nd, a)
-	return nd.known && used > memoryTop*nd.memory
-}
-
 // offer sends the try.
 func (s *Scheduler) offer(a *alloc) step {
 	nd := &s.nodes[a.nd]
@@ -834,28 +836,17 @@
 	s.scanAt = min(s.scanAt, now+scanEvery/4)
 }
 
-// Noted learns what own tasks use and where they are pressed.
-func (s *Scheduler) Noted(now float64, id uint32, _ uint8, nodeID uint32, kind NoteKind, value float64) {
+// Noted learns what part of their asks tasks use.
+func (s *Scheduler) Noted(now float64, id uint32, _ uint8, _ uint32, kind NoteKind, value float64) {
 	s.now = now
-	i, ok := s.allocAt[id]
-	n, known := s.nodeAt[nodeID]
-	if !ok || !known {
-		return
-	}
-	a, nd := &s.allocs[i], &s.nodes[n]
-	switch kind {
-	case CoresUsed, MemoryUsed:
-		x := int(kind - CoresUsed)
-		if !a.out {
-			return
+	if i, ok := s.allocAt[id]; ok && (kind == CoresUsed || kind == MemoryUsed) {
+		x, a := kind-CoresUsed, &s.allocs[i]
+		asked := [2]float64{a.cores, a.memory}[x]
+		if now-a.sentAt < growFor {
+			value = max(value, asked*s.usual(int(x)))
 		}
-		if now-a.sentAt < growFor { // memory grows after a start
-			value = max(value, a.use[x])
-		}
-		nd.own[x] += value - a.use[x]
-		a.use[x] = value
 		s.used[x] = s.used[x]*0.998 + value
-		s.asked[x] = s.asked[x]*0.998 + [2]float64{a.cores, a.memory}[x]
+		s.asked[x] = s.asked[x]*0.998 + asked
 	}
 }
 
@@ -879,7 +870,7 @@
 		s.judge(nd, false)
 		return
 	}
-	nd.heard = now
+	nd.heard, s.scanAt = now, now
 	s.report(nd, report)
 	for nd.ill { // it answers: back into use
 		s.judge(nd, true)
@@ -890,7 +881,7 @@
 	s.now = now
 	switch key {
 	case keyTick:
-		s.tick()
+		s.tickDue = true
 		s.host.Wake(tickEvery, keyTick)
 	case keyScan:
 		s.scanSet = false
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -414,24 +414,39 @@
 	}
 }
 
-// Only where no other will do is a node near eviction drawn.
-func TestTight(t *testing.T) {
+// Where reports come only by probe, an allocation first asks the nodes about to be drawn, if their reports are
+// old, and goes by the answers; without answers it is sent all the same.
+func TestAsks(t *testing.T) {
 	for _, c := range []struct {
-		name  string
-		other float64 // memory not asked for on the other node
-		used  bool
-	}{{"another has ease", 70, false}, {"all are near it", -30, true}} {
+		name        string
+		come, fresh bool // reports come by themselves, are young
+		answer      bool
+		probes      int
+	}{{"old", false, false, true, 2}, {"no answer", false, false, false, 2}, {"young", false, true, true, 0},
+		{"reports come", true, false, true, 0}} {
 		t.Run(c.name, func(t *testing.T) {
-			x := start(t, cluster(), 2)
-			x.s.used = [2]float64{10, 19}
-			x.s.Probed(x.now, 10, Ended, 1, []float64{20, -30})
-			x.s.Probed(x.now, 11, Ended, 1, []float64{20, c.other})
-			for id := range uint32(window) {
-				x.ask(id, 0, uint64(id))
+			cl := cluster()
+			cl.ReportsCome, cl.ListsFree = c.come, false
+			x := start(t, cl, 2)
+			for id := uint32(10); id < 12; id++ {
+				x.s.Probed(x.now, id, Ended, 1, []float64{20, 40})
 			}
-			if got := len(x.s.nodes[0].unanswered) > 0; got != c.used {
-				t.Errorf("tight node used: %t", got)
+			x.s.credit, x.s.scanAt = 2, 0
+			if !c.fresh {
+				x.now += 20000
 			}
+			x.ask(1, 0, 5)
+			x.expect("probe", c.probes)
+			x.expect("offer", (2-c.probes)/2)
+			if c.answer && c.probes > 0 { // node 10 turns out full
+				x.s.Probed(x.now, 10, Ended, 1, []float64{-40, 40})
+				x.s.Probed(x.now, 11, Ended, 1, []float64{20, 40})
+				x.s.Decide(x.now)
+				x.expect("offer 1 11", 1)
+			}
+			x.now += askFor
+			x.s.Decide(x.now)
+			x.expect("offer", 1)
 		})
 	}
 }
