Health by node and job type, reach apart from it; first list calls spread

Cause: an answered probe cleared what failed tries had shown, so nodes that leave one job type unanswered came back each second; all schedulers made their first list call within 0.3 s and most were refused; homes went by a sorted list of ids kept at each new node. Now: failures among a job type's last four tries at a node add to its rent there and are forgotten one in 8 s; only what says a node was not reached, or silence, makes it ill, and any answer clears that. First calls are spread over 25 ms for each scheduler. Homes are drawn by their ids. Also covers nodes that answer with errors or lose answers; does harm where failures are chance alone: the program's nodes are passed over.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -4,7 +4,8 @@
 //
 // The design (docs/design.md) decides the ordinary path: filters, net benefit, a uniform draw among the best.
 // Beside it stand these mechanisms:
-//  1. health: a node is judged by its last few outcomes and by silence; an ill one is probed, not used
+//  1. health: failures among a job type's last few tries at a node add to its rent there; a node that does not
+//     answer is ill: probed, and drawn last
 //  2. patience: a try's time-out follows the start times seen for the job type
 //  3. waiting: without room the most valuable goes first; a node has a window of own unanswered offers
 //  4. pacing: a recent node gets this scheduler's share, or turn, of what a cold node bears
@@ -49,9 +50,10 @@
 	askAge        = 1500 // if their reports are older
 	askFor        = 150  // and waited for so long
 	lineRest      = 250  // a node whose line is too long rests
-	outcomes      = 4    // last outcomes that judge a node
-	illBelow      = 3    // fewer successes among them and it is ill
-	followFirst   = 300  // first watch, spread over so long
+	outcomes      = 4    // last outcomes of a job type that judge a node
+	forgetEvery   = 8000 // the oldest of them is forgotten, so that no node is left out for long
+	failCost      = 4    // usage that a try stands for that surely fails
+	followEach    = 25   // first watch, spread over so long for each scheduler
 	followAgain   = 1500 // after a failed call, growing to four times that
 )
 
@@ -117,7 +119,8 @@
 	acts                            []change
 	held                            [2]float64 // asked by this scheduler's own
 	unanswered                      []int      // allocs with a try out
-	past                            uint       // last outcomes, a bit each, 1 for a success
+	past                            []uint     // by job type the last outcomes, a bit each, 1 for a success
+	forgetAt                        float64
 	known, ill, shut, home, probing bool
 	probedAt, restUntil             float64
 }
@@ -138,32 +141,32 @@
 
 // Scheduler is the decision module of one scheduler.
 type Scheduler struct {
-	host                              Host
-	rng                               pcg
-	now, born                         float64
-	cl                                *Cluster
-	jobs                              []job
-	share                             int    // offers that this scheduler may send to a cold node within the window
-	every                             uint64 // if none, it has every so many turns; 0: never
-	x0, x1                            int    // places in a report, or -1
-	nodes                             []node
-	allocs                            []alloc
-	svcs                              []service
-	nodeAt, allocAt                   map[uint32]int
-	svcAt                             map[uint64]int
-	freeAlloc, freeSvc, waiting, byID []int
-	page, fails, ready                int
-	listKind                          ListKind
-	listAt, callAt                    float64 // the last news, and when to call for the list again
-	credit                            float64 // probes that own allocations have paid for
-	used, asked                       [2]float64
-	scanSet, short, tickDue           bool
-	scanAt                            float64
-	scores, byLoad                    []scored
-	mean                              float64    // load
-	big, bigPart                      [2]float64 // the largest seen; memory that large ones and all ask
-	bigValue                          float64    // and its job type's value and kind
-	bigKind                           int
+	host                        Host
+	rng                         pcg
+	now, born                   float64
+	cl                          *Cluster
+	jobs                        []job
+	share                       int    // offers that this scheduler may send to a cold node within the window
+	every                       uint64 // if none, it has every so many turns; 0: never
+	x0, x1                      int    // places in a report, or -1
+	nodes                       []node
+	allocs                      []alloc
+	svcs                        []service
+	nodeAt, allocAt             map[uint32]int
+	svcAt                       map[uint64]int
+	freeAlloc, freeSvc, waiting []int
+	page, fails, ready          int
+	listKind                    ListKind
+	listAt, callAt              float64 // the last news, and when to call for the list again
+	credit                      float64 // probes that own allocations have paid for
+	used, asked                 [2]float64
+	scanSet, short, tickDue     bool
+	scanAt                      float64
+	scores, byLoad              []scored
+	mean                        float64    // load
+	big, bigPart                [2]float64 // the largest seen; memory that large ones and all ask
+	bigValue                    float64    // and its job type's value and kind
+	bigKind                     int
 }
 
 type scored struct {
@@ -187,7 +190,7 @@
 		s.jobs = append(s.jobs, j)
 	}
 	s.asked, s.used = [2]float64{20, 20}, [2]float64{12, 14} // a weak first guess of use
-	s.callAt = now + s.rng.float()*followFirst
+	s.callAt = now + s.rng.float()*min(cl.AskEvery/3, followEach*float64(cl.Schedulers))
 	host.Wake(tickEvery*s.rng.float(), keyTick)
 	return s
 }
@@ -207,8 +210,6 @@
 		i = len(s.nodes)
 		s.nodeAt[id] = i
 		s.nodes = append(s.nodes, node{id: id, avail: Gone, heard: -1})
-		s.byID = append(s.byID, i)
-		slices.SortFunc(s.byID, func(x, y int) int { return cmp.Compare(s.nodes[x].id, s.nodes[y].id) })
 	}
 	nd := &s.nodes[i]
 	fresh := !ok && s.listKind != ListCached || nd.avail == Gone && ok || since > nd.since && ok
@@ -231,7 +232,7 @@
 
 // enter takes a node into use. One that just started or came back is recent for as long as it may be cold.
 func (s *Scheduler) enter(nd *node, since float64, fresh bool) {
-	nd.past, nd.ill, nd.restUntil = 1<<outcomes-1, false, 0
+	nd.past, nd.ill, nd.restUntil = slices.Repeat([]uint{1<<outcomes - 1}, len(s.jobs)), false, 0
 	if since > 0 { // 0: long ago
 		nd.recentUntil = max(nd.recentUntil, since+s.cl.ColdFor)
 	}
@@ -517,9 +518,9 @@
 	return pass
 }
 
-// asks probes those about to be drawn whose reports are old, once an allocation, and tells whether to wait for
-// them. It guards against draws on what a large fleet looked like long ago, as own allocations pay for few
-// probes; a node that does not answer in time is drawn on what is known.
+// asks probes those about to be drawn whose reports are old, once an allocation, and tells whether to wait.
+// It guards against draws on what a large fleet looked like long ago, as own allocations pay for few probes;
+// a node that does not answer in time is drawn on what is known.
 func (s *Scheduler) asks(a *alloc, best []scored) bool {
 	if s.cl.ReportsCome || !s.cl.MayProbe {
 		return false
@@ -529,11 +530,12 @@
 		a.askedAt = s.now
 	}
 	for _, b := range best {
-		if nd := &s.nodes[b.nd]; first && s.credit >= 1 && s.now-reportLag-nd.measured > askAge && !nd.probing {
+		nd := &s.nodes[b.nd]
+		if first && s.credit >= 1 && s.now-reportLag-nd.measured > askAge && !nd.probing {
 			s.credit--
 			s.probe(nd)
 		}
-		wait = wait || s.nodes[b.nd].probing && s.now-a.askedAt < askFor
+		wait = wait || nd.probing && s.now-a.askedAt < askFor
 	}
 	return wait
 }
@@ -633,7 +635,7 @@
 	if !held {
 		rent += min(fetchMost, fetchStep*lot(s.svcs[a.svc].key, nd.id)*float64(s.ready))
 	}
-	return gPlain*sum - rent
+	return gPlain*sum - rent - failCost*nd.risk(a.job)
 }
 
 // lot gives a service's key and a node a number from 0 to 1, the same at all schedulers.
@@ -663,14 +665,18 @@
 // survey finds the mean load and two kinds of nodes that small allocations are to leave alone. Where machines
 // in use have a price, those beyond what all need are shut, the least loaded first: they get nothing new,
 // empty, and stay last. While room is short and nodes push nothing out, large ones have homes: twice their
-// part of the nodes, those of the lowest ids, so that all schedulers choose the same.
+// part of the nodes, drawn by their ids, so that all schedulers choose the same.
 func (s *Scheduler) survey() {
 	s.byLoad, s.mean, s.ready = s.byLoad[:0], 0, 0
 	var need, have, asked, room [2]float64
+	able := 0.0 // nodes that may hold large ones
 	for i := range s.nodes {
 		nd := &s.nodes[i]
 		if nd.avail == Ready {
 			s.ready++
+			if s.bigKind < 0 || s.bigKind == nd.kind {
+				able++
+			}
 		}
 		if nd.avail == Ready && nd.known {
 			c, m := s.inUse(nd, nil)
@@ -696,11 +702,9 @@
 	if !s.cl.Displaces && (asked[0] > homesFrom*room[0] || asked[1] > homesFrom*room[1]) {
 		homes = 2 * s.bigPart[0] / s.bigPart[1] * float64(len(s.byLoad))
 	}
-	for _, i := range s.byID {
+	for i := range s.nodes {
 		nd := &s.nodes[i]
-		if nd.home = homes >= 0.5 && nd.avail == Ready && (s.bigKind < 0 || s.bigKind == nd.kind); nd.home {
-			homes--
-		}
+		nd.home = (s.bigKind < 0 || s.bigKind == nd.kind) && lot(0, nd.id)*able < homes
 	}
 }
 
@@ -734,10 +738,9 @@
 	s.place(a, -1)
 	a.out = false
 	s.heardOf(a, nd)
-	switch {
-	case v == Refused || v == Unreached || v == Unsent:
+	if v == Refused || v == Unreached || v == Unsent {
 		s.act(nd, a.sentAt, -a.cores, -a.memory) // as if never sent
-	case a.placed:
+	} else if a.placed {
 		s.act(nd, s.now, -a.cores, -a.memory)
 	}
 }
@@ -753,8 +756,7 @@
 	}
 	switch v {
 	case Refused:
-		s.judge(nd, true)
-		nd.heard = s.now
+		s.hear(nd, true)
 		switch why {
 		case NoCores, NoMemory: // it has less than thought: believe it until the next report
 			s.believe(nd, a, why)
@@ -763,11 +765,11 @@
 		case NotHere:
 			a.tried = append(a.tried, a.nd)
 		}
-	case Unreached: // counts twice
-		s.judge(nd, false)
-		fallthrough
+	case Unreached:
+		s.hear(nd, false)
+		a.tried = append(a.tried, a.nd)
 	case TimedOut, Errored, Broken:
-		s.judge(nd, false)
+		nd.judge(a.job, 0)
 		a.tried = append(a.tried, a.nd)
 	}
 }
@@ -785,16 +787,23 @@
 	nd.free, nd.measured, nd.known = [2]float64{nd.cores - c, nd.memory - m}, s.now, true
 }
 
-// judge adds an outcome to a node's last few.
-func (s *Scheduler) judge(nd *node, ok bool) {
-	nd.past = nd.past << 1 & (1<<outcomes - 1)
-	if ok {
-		nd.past |= 1
+// judge adds an outcome of a job type, 1 for a success, to a node's last few. An answered probe does not: it
+// proves reach, and a node may fail one job type while it serves others.
+func (nd *node) judge(job int, ok uint) { nd.past[job] = (nd.past[job]<<1 | ok) & (1<<outcomes - 1) }
+
+// risk is the part of a job type's last few tries that failed at a node.
+func (nd *node) risk(job int) float64 {
+	return 1 - float64(bits.OnesCount(nd.past[job]))/outcomes
+}
+
+// hear takes it that a node answers, or does not.
+func (s *Scheduler) hear(nd *node, answers bool) {
+	if answers {
+		nd.heard = s.now
 	}
-	good := bits.OnesCount(nd.past)
-	if ill := good < illBelow; ill != nd.ill {
-		nd.ill, nd.probedAt = ill, s.now
-		s.host.Log(fmt.Sprintf("node %d: ill=%t, %d of %d outcomes good", nd.id, ill, good, outcomes))
+	if nd.ill == answers {
+		nd.ill, nd.probedAt = !answers, s.now
+		s.host.Log(fmt.Sprintf("node %d: ill=%t, last heard %.1f s ago", nd.id, nd.ill, (s.now-nd.heard)/1000))
 	}
 }
 
@@ -808,8 +817,8 @@
 	nd := &s.nodes[a.nd]
 	s.heardOf(a, nd)
 	a.placed, a.over = true, true
-	nd.heard = now
-	s.judge(nd, true)
+	s.hear(nd, true)
+	nd.judge(a.job, 1)
 	s.jobs[a.job].starts.add(took)
 }
 
@@ -866,14 +875,10 @@
 	}
 	nd := &s.nodes[n]
 	nd.probing = false
-	if verdict != Ended {
-		s.judge(nd, false)
-		return
-	}
-	nd.heard, s.scanAt = now, now
-	s.report(nd, report)
-	for nd.ill { // it answers: back into use
-		s.judge(nd, true)
+	s.scanAt = now
+	s.hear(nd, verdict == Ended)
+	if verdict == Ended {
+		s.report(nd, report)
 	}
 }
 
@@ -909,16 +914,18 @@
 			quiet := s.now - max(first.sentAt, nd.heard)
 			if quiet > max(leastWait, s.jobs[first.job].starts.quantile(0.95)) && !nd.probing &&
 				s.now-nd.probedAt > illProbe {
-				s.judge(nd, false)
+				s.hear(nd, !s.cl.MayProbe)
 				s.probe(nd)
 			}
 		}
 		if nd.ill && s.now-nd.probedAt > illProbe {
-			if s.cl.MayProbe {
-				s.probe(nd)
-			} else {
-				nd.probedAt = s.now
-				s.judge(nd, true)
+			s.hear(nd, !s.cl.MayProbe)
+			s.probe(nd)
+		}
+		if s.now > nd.forgetAt {
+			nd.forgetAt = s.now + forgetEvery
+			for j := range nd.past {
+				nd.judge(j, 1)
 			}
 		}
 	}
