--- a/logic/logic.go
+++ b/logic/logic.go
@@ -4,8 +4,8 @@
 //
 // The design (docs/design.md) decides the ordinary path: filters, net benefit, a uniform draw among the best.
 // Beside it stand these mechanisms:
-//  1. health: failures among a job type's last few tries at a node add to its rent there; a node that does not
-//     answer is ill: probed, and drawn last
+//  1. health: failures among a job type's last few tries at a node add to its rent there; a node that does
+//     not answer is ill: probed, and drawn last
 //  2. patience: a try's time-out follows the start times seen for the job type
 //  3. waiting: without room the most valuable goes first; a node has a window of own unanswered offers
 //  4. pacing: a recent node gets this scheduler's share, or turn, of what a cold node bears
@@ -92,11 +92,12 @@
 	cores, memory     float64
 	expiry            float64
 	tries             int
-	nd                int     // of the try that is out, or where it is placed
-	sentAt            float64 // of that try
-	askedAt           float64 // when the nodes about to be drawn were probed for it
-	out, placed, over bool    // a try has no outcome yet, it started, the final answer is given
-	doubt             bool    // an earlier try may have run: the first such, by time and node
+	nd                int        // of the try that is out, or where it is placed
+	sentAt            float64    // of that try
+	use               [2]float64 // cores and memory in use, as told or as usual
+	askedAt           float64    // when the nodes about to be drawn were probed for it
+	out, placed, over bool       // a try has no outcome yet, it started, the final answer is given
+	doubt             bool       // an earlier try may have run: the first such, by time and node
 	doubtAt           float64
 	doubtNd           int
 	tried             []int // nodes that failed it
@@ -117,7 +118,7 @@
 	free                            [2]float64 // cores, memory not asked for, as measured at that time
 	measured                        float64
 	acts                            []change
-	held                            [2]float64 // asked by this scheduler's own
+	held, own                       [2]float64 // asked by this scheduler's own, and in use by them
 	unanswered                      []int      // allocs with a try out
 	past                            []uint     // by job type the last outcomes, a bit each, 1 for a success
 	forgetAt                        float64
@@ -177,6 +178,7 @@
 // New starts a scheduler that knows nothing yet; its last list comes next.
 func New(host Host, now float64, seed uint64, cl *Cluster) *Scheduler {
 	s := &Scheduler{host: host, rng: pcg{seed}, now: now, born: now, cl: cl,
+		asked: [2]float64{20, 20}, used: [2]float64{12, 14}, // a weak first guess of use
 		bigPart: [2]float64{0, 1}, x0: slices.Index(cl.Report, "x0"), x1: slices.Index(cl.Report, "x1"),
 		nodeAt: map[uint32]int{}, allocAt: map[uint32]int{}, svcAt: map[uint64]int{}, listAt: now}
 	s.rng.next()
@@ -189,7 +191,6 @@
 		j.starts.add(jt.Target)
 		s.jobs = append(s.jobs, j)
 	}
-	s.asked, s.used = [2]float64{20, 20}, [2]float64{12, 14} // a weak first guess of use
 	s.callAt = now + s.rng.float()*min(cl.AskEvery/3, followEach*float64(cl.Schedulers))
 	host.Wake(tickEvery*s.rng.float(), keyTick)
 	return s
@@ -379,8 +380,13 @@
 // place counts an allocation in or out of its node and of its service's machines.
 func (s *Scheduler) place(a *alloc, by int) {
 	nd := &s.nodes[a.nd]
+	if by > 0 {
+		a.use = [2]float64{a.cores * s.usual(0), a.memory * s.usual(1)}
+	}
 	nd.held[0] += float64(by) * a.cores
 	nd.held[1] += float64(by) * a.memory
+	nd.own[0] += float64(by) * a.use[0]
+	nd.own[1] += float64(by) * a.use[1]
 	v := &s.svcs[a.svc]
 	h := slices.IndexFunc(v.on, func(h hold) bool { return h.nd == a.nd })
 	if h < 0 {
@@ -645,19 +651,16 @@
 	return p.float()
 }
 
-// inUse is what a node's tasks use, with one more: the usual part of what they ask.
-func (s *Scheduler) inUse(nd *node, a *alloc) (cores, memory float64) {
+// inUse is what a node's tasks use: own ones as told, others the usual part of what they ask.
+func (s *Scheduler) inUse(nd *node) (cores, memory float64) {
 	c, m := s.taken(nd)
-	if a != nil {
-		c, m = c+a.cores, m+a.memory
-	}
-	return s.usual(0) * c, s.usual(1) * m
+	return nd.own[0] + s.usual(0)*(c-nd.held[0]), nd.own[1] + s.usual(1)*(m-nd.held[1])
 }
 
 // usage is the larger share of cores or memory in use, dearer near full, with the line of own offers.
 func (s *Scheduler) usage(nd *node, a *alloc) float64 {
-	c, m := s.inUse(nd, a)
-	u := max(c/nd.cores, m/nd.memory)
+	c, m := s.inUse(nd)
+	u := max((c+a.cores*s.usual(0))/nd.cores, (m+a.memory*s.usual(1))/nd.memory)
 	u += steep * max(0, u-easyUse)
 	return u + lineShare*float64(len(nd.unanswered))
 }
@@ -679,7 +682,7 @@
 			}
 		}
 		if nd.avail == Ready && nd.known {
-			c, m := s.inUse(nd, nil)
+			c, m := s.inUse(nd)
 			load := max(c/nd.cores, m/nd.memory)
 			s.byLoad = append(s.byLoad, scored{i, load})
 			s.mean += load
@@ -711,8 +714,7 @@
 // offer sends the try.
 func (s *Scheduler) offer(a *alloc) step {
 	nd := &s.nodes[a.nd]
-	left := a.expiry - s.now
-	wait := left
+	left, wait := a.expiry-s.now, a.expiry-s.now
 	if s.jobs[a.job].Effect != RunOnce && a.tries+1 < s.cl.MaxTries {
 		if p := max(leastWait, 2*s.jobs[a.job].starts.quantile(0.95)); p+leastWait/2 < left {
 			wait = p
@@ -848,14 +850,15 @@
 // Noted learns what part of their asks tasks use.
 func (s *Scheduler) Noted(now float64, id uint32, _ uint8, _ uint32, kind NoteKind, value float64) {
 	s.now = now
-	if i, ok := s.allocAt[id]; ok && (kind == CoresUsed || kind == MemoryUsed) {
+	if i, ok := s.allocAt[id]; ok && s.allocs[i].out && (kind == CoresUsed || kind == MemoryUsed) {
 		x, a := kind-CoresUsed, &s.allocs[i]
-		asked := [2]float64{a.cores, a.memory}[x]
 		if now-a.sentAt < growFor {
-			value = max(value, asked*s.usual(int(x)))
+			value = max(value, a.use[x])
 		}
+		s.nodes[a.nd].own[x] += value - a.use[x]
+		a.use[x] = value
 		s.used[x] = s.used[x]*0.998 + value
-		s.asked[x] = s.asked[x]*0.998 + asked
+		s.asked[x] = s.asked[x]*0.998 + [2]float64{a.cores, a.memory}[x]
 	}
 }
 
