--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,7 +33,7 @@
 	listLag       = 4000 // and a list entry
 	easyUse       = 0.85 // usage from which tasks are served worse or evicted
 	steep         = 3    // and the rent rises so much faster
-	openAt        = 0.75 // mean load up to which machines in use are filled, where they have a price
+	openAt        = 0.65 // mean load up to which machines in use are filled, where they have a price
 	growFor       = 8000 // memory use grows for so long after a start
 	homesFrom     = 0.6  // part of all room asked for, from which large allocations have homes
 	large         = 4    // mean sizes from which room for an allocation is kept whole
