--- a/logic/logic.go
+++ b/logic/logic.go
@@ -805,7 +805,8 @@
 	}
 	if nd.ill == answers {
 		nd.ill, nd.probedAt = !answers, s.now
-		s.host.Log(fmt.Sprintf("node %d: ill=%t, last heard %.1f s ago", nd.id, nd.ill, (s.now-nd.heard)/1000))
+		quiet := (s.now - max(nd.heard, s.born)) / 1000
+		s.host.Log(fmt.Sprintf("node %d: ill=%t, unheard %.1f s", nd.id, nd.ill, quiet))
 	}
 }
 
