--- a/logic/logic.go
+++ b/logic/logic.go
@@ -913,16 +913,7 @@
 		if nd.avail != Ready {
 			continue
 		}
-		if len(nd.unanswered) > 0 && !nd.ill {
-			first := &s.allocs[nd.unanswered[0]]
-			quiet := s.now - max(first.sentAt, nd.heard)
-			if quiet > max(leastWait, s.jobs[first.job].starts.quantile(0.95)) && !nd.probing &&
-				s.now-nd.probedAt > illProbe {
-				s.hear(nd, !s.cl.MayProbe)
-				s.probe(nd)
-			}
-		}
-		if nd.ill && s.now-nd.probedAt > illProbe {
+		if !nd.probing && s.now-nd.probedAt > illProbe && (nd.ill || s.silent(nd)) {
 			s.hear(nd, !s.cl.MayProbe)
 			s.probe(nd)
 		}
@@ -940,6 +931,15 @@
 	}
 }
 
+// silent tells whether a node owes an answer for longer than starts take.
+func (s *Scheduler) silent(nd *node) bool {
+	if len(nd.unanswered) == 0 {
+		return false
+	}
+	first := &s.allocs[nd.unanswered[0]]
+	return s.now-max(first.sentAt, nd.heard) > max(leastWait, s.jobs[first.job].starts.quantile(0.95))
+}
+
 // refresh probes for reports, the oldest first, as far as own allocations have paid for it.
 func (s *Scheduler) refresh() {
 	for ; !s.cl.ReportsCome && s.credit >= 1; s.credit-- {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -534,15 +534,10 @@
 		ill   bool
 	}{{"answers soon", 500, false}, {"silent", 4000, true}} {
 		t.Run(c.name, func(t *testing.T) {
-			cl := cluster()
-			cl.ReportsCome = true
-			x := start(t, cl, 2)
+			x := start(t, cluster(), 2)
 			x.ask(1, 0, 5)
 			nd := &x.s.nodes[x.s.nodeAt[x.b.last()]]
 			x.pass(c.quiet)
-			if c.ill {
-				x.s.Probed(x.now, nd.id, Unreached, 250, nil)
-			}
 			if nd.ill != c.ill {
 				t.Errorf("ill: %t", nd.ill)
 			}
