--- /dev/null
+++ b/cmd/ravenpond/main.go
@@ -0,0 +1,192 @@
+// Ravenpond places long-running work on a cluster's machines. Run it with --help for its commands.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/google/renameio/v2"
+	"github.com/rs/zerolog"
+
+	"ravenpond/internal/lab/drill"
+	"ravenpond/internal/serve"
+	"ravenpond/internal/site"
+)
+
+// commands are the program's, as the argument library reads them.
+type commands struct {
+	Serve serveCommand `cmd:"" help:"Run a scheduler."`
+	Site  struct {
+		Check   checkCommand   `cmd:"" help:"Name every fault of a site file, with its line."`
+		Schema  schemaCommand  `cmd:"" help:"Print the XML schema of site files."`
+		Example exampleCommand `cmd:"" help:"Print a site file to start from."`
+	} `cmd:"" help:"Site files."`
+	Drill drillCommand `cmd:"" help:"Play a scripted bad day on loopback and audit the rules."`
+}
+
+func main() {
+	var c commands
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	k := kong.Parse(&c, kong.Name("ravenpond"), kong.Description("A scheduler for long-running work."),
+		kong.UsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)))
+	if err := k.Run(); err != nil {
+		stop()
+		fmt.Fprintln(os.Stderr, "ravenpond:", err)
+		os.Exit(1)
+	}
+}
+
+type serveCommand struct {
+	Site        string `required:"" type:"existingfile" help:"The site file."`
+	State       string `required:"" type:"path" help:"Folder for what outlives the process."`
+	Name        string `default:"s0" help:"The scheduler's name, the same at each start."`
+	Index       int    `default:"0" help:"Its number among all schedulers, from 0."`
+	Seed        uint64 `default:"0" help:"Seed of its chance; 0 draws one."`
+	Owners      string `help:"Listen for owners here instead of where the site file says."`
+	AddressFile string `type:"path" help:"Write the owners' address to this file once they may connect."`
+	Log         string `enum:"json,plain" default:"json" help:"Form of the log: json or plain."`
+	Level       string `enum:"debug,info,warn" default:"info" help:"debug adds a line for each try."`
+}
+
+func logger(form, level string, out io.Writer) (zerolog.Logger, error) {
+	at, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), err
+	}
+	if form == "plain" {
+		out = zerolog.ConsoleWriter{Out: out}
+	}
+	return zerolog.New(out).Level(at).With().Timestamp().Logger(), nil
+}
+
+func (c *serveCommand) Run(ctx context.Context) error {
+	place, err := site.Load(c.Site)
+	if err != nil {
+		return err
+	}
+	if c.Index < 0 || c.Index >= place.Cluster.Schedulers {
+		return fmt.Errorf("index %d: the site file has schedulers 0 to %d", c.Index, place.Cluster.Schedulers-1)
+	}
+	if c.Owners != "" {
+		place.OwnersListen = c.Owners
+	}
+	log, err := logger(c.Log, c.Level, os.Stderr)
+	if err != nil {
+		return err
+	}
+	seed := c.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	var failed error
+	who := serve.Scheduler{Place: place, Name: c.Name, Index: c.Index, Folder: c.State, Seed: seed,
+		Log: log.With().Str("scheduler", c.Name).Logger(), Ready: func(owners net.Addr) {
+			if c.AddressFile != "" {
+				failed = renameio.WriteFile(c.AddressFile, []byte(owners.String()+"\n"), 0o640)
+			}
+		}}
+	return errors.Join(serve.Run(ctx, who), failed)
+}
+
+type checkCommand struct {
+	File string `arg:"" type:"existingfile" help:"The site file."`
+}
+
+func (c *checkCommand) Run() error {
+	place, err := site.Load(c.File)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: site %s, %d job types, %d tenants, %d machine kinds: no faults\n", c.File, place.Name,
+		len(place.Jobs), len(place.Tenants), len(place.Kinds))
+	return nil
+}
+
+type schemaCommand struct{}
+
+func (schemaCommand) Run() error { fmt.Print(site.Schema); return nil }
+
+type exampleCommand struct{}
+
+func (exampleCommand) Run() error { fmt.Print(site.Example); return nil }
+
+type drillCommand struct {
+	Day     string `type:"existingfile" help:"Day file; without it the day in the program."`
+	Site    string `type:"existingfile" help:"Site file with 127.0.0.1:0 for both addresses; without it the one in the program."`
+	Seed    uint64 `default:"1" help:"Seed of the day's chance."`
+	Out     string `type:"path" help:"Folder for logs and the trace; without it a new one in the temporary folder."`
+	Quiet   bool   `help:"Print the table alone."`
+	ShowDay bool   `help:"Print the day in the program, and play nothing."`
+}
+
+func (c *drillCommand) Run(ctx context.Context) error {
+	if c.ShowDay {
+		fmt.Print(drill.DefaultDay)
+		return nil
+	}
+	day, where, err := textOr(c.Day, drill.DefaultDay)
+	if err != nil {
+		return err
+	}
+	text, _, err := textOr(c.Site, drill.DefaultSite)
+	if err != nil {
+		return err
+	}
+	place, faults := site.Read(strings.NewReader(text))
+	if len(faults) > 0 {
+		return fmt.Errorf("site: %s", faults[0])
+	}
+	plan, faults := drill.ReadDay(strings.NewReader(day), place)
+	for _, f := range faults {
+		fmt.Fprintf(os.Stderr, "%s: %s\n", where, f)
+	}
+	if plan == nil {
+		return fmt.Errorf("%s: %d faults", where, len(faults))
+	}
+	if c.Out == "" {
+		if c.Out, err = os.MkdirTemp("", "ravenpond-drill-"); err != nil {
+			return err
+		}
+	} else if err := os.MkdirAll(c.Out, 0o750); err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	say := func(format string, args ...any) { fmt.Printf(format+"\n", args...) }
+	if c.Quiet {
+		say = func(string, ...any) {}
+	}
+	say("day %s, seed %d, logs and trace in %s", plan.Name, c.Seed, c.Out)
+	res, err := drill.Play(ctx, drill.Drill{Day: plan, Place: place, Site: text, Command: []string{self}, Seed: c.Seed,
+		Out: c.Out, Say: say})
+	if err != nil {
+		return err
+	}
+	if err := res.Print(os.Stdout); err != nil {
+		return err
+	}
+	if n := len(res.Breaks); n > 0 {
+		os.Exit(2)
+	}
+	return nil
+}
+
+func textOr(path, text string) (string, string, error) {
+	if path == "" {
+		return text, "the day in the program", nil
+	}
+	b, err := os.ReadFile(path)
+	return string(b), path, err
+}
--- /dev/null
+++ b/internal/decide/doubt/doubt.go
@@ -0,0 +1,123 @@
+// Package doubt decides what may be concluded about a placement try from what was seen of it when connections
+// break, nodes restart and answers come late. It holds no state: the engine asks at each such moment.
+//
+// The ground rule: a try never ran only if that is proven, and there are three proofs. Its last byte was never
+// handed to the kernel; the node said that it turned it away or handed it back; the node, still in the same life,
+// had not seen it when it was claimed and barred it. All else may have run.
+package doubt
+
+import "ravenpond/logic"
+
+// Times in milliseconds.
+const (
+	claimFor  = 1500 // a try whose connection broke waits so long for its node to say what became of it
+	runsFor   = 8000 // and one that runs: its end can't be told from the break alone
+	keepLate  = 2500 // a start that came too late is kept for its owner's next ask, beyond the settle time
+	keepGhost = 60000
+)
+
+// Fate is what follows for a try.
+type Fate uint8
+
+const (
+	Goes    Fate = iota // it is still out or runs
+	Never               // it provably never ran
+	MayHave             // it may have run, and nothing more will be heard
+	Ask                 // claim it when its node is back, for as long as Patience says
+)
+
+// Broke decides about a try whose connection broke. left tells that its last byte may have left this machine.
+func Broke(left bool) Fate {
+	if left {
+		return Ask
+	}
+	return Never
+}
+
+// Patience is how long a try whose connection broke is waited for.
+func Patience(runs bool) float64 {
+	if runs {
+		return runsFor
+	}
+	return claimFor
+}
+
+// Returned decides about a try when its node is connected again. A node in another life has lost what it held,
+// and the try may have run in the life before; one in the same life that doesn't name it must be asked, since
+// an answer may have been lost on the way.
+func Returned(sameLife, named bool) Fate {
+	switch {
+	case !sameLife:
+		return MayHave
+	case named:
+		return Goes
+	}
+	return Ask
+}
+
+// GoneFrom decides about a try when the list no longer has its node and no connection stands.
+func GoneFrom(linked, left bool) Fate {
+	switch {
+	case linked:
+		return Goes // what it holds runs on, and its answers still come
+	case left:
+		return MayHave
+	}
+	return Never
+}
+
+// Do is what to do with an allocation that started after its try had been given up.
+type Do uint8
+
+const (
+	Stop  Do = iota // nobody is served by it
+	Serve           // its owner still waits, and no other try is out: it is the answer
+	Await           // another try is out: the one that ends first without a start leaves the other
+	Keep            // its owner was answered: hold it for the owner's next ask, then stop it
+)
+
+// Late decides about a late start. open tells that the owner still waits, out that another try is out.
+// A restartable allocation is stopped once answered, as its owner starts another at once. One that must not
+// take effect twice is kept: stopping it would waste the effect, and the owner's next ask finds it running.
+func Late(effect logic.Effect, open, out bool) Do {
+	switch {
+	case open && !out:
+		return Serve
+	case open:
+		return Await
+	case effect == logic.Restartable:
+		return Stop
+	}
+	return Keep
+}
+
+// KeepFor is how long a late start is kept for its owner's next ask. Owners wait the settle time first.
+func KeepFor(settle float64) float64 { return 2*settle + keepLate }
+
+// RememberFor is how long a given up try is remembered, so that its late answers are understood.
+func RememberFor() float64 { return keepGhost }
+
+// Withdrawn tells whether an owner that gives up may be told that asking again does no harm. A restartable one
+// always may; any other only if nothing is out and no earlier try may have run, or its group drops the repeat
+// wherever it goes.
+func Withdrawn(effect logic.Effect, group logic.Group, out, mayHave bool) bool {
+	return effect == logic.Restartable || !out && (!mayHave || effect == logic.Tokened && group == logic.GroupAll)
+}
+
+const (
+	linkFor  = 250 // an offer waits so long for a connection to its node
+	probeFor = 500 // a probe, from its sending or from the first dial for it
+)
+
+// Claims is how often a given up try that must not take effect twice is claimed, and ClaimEvery the time between:
+// all within the time that its owner waits before it asks again.
+func Claims() int { return 3 }
+
+// ClaimEvery is the time between two claims.
+func ClaimEvery(settle float64) float64 { return settle / 4 }
+
+// LinkFor is how long an offer waits for a connection before it provably was never sent.
+func LinkFor() float64 { return linkFor }
+
+// ProbeFor is how long a probe's answer is waited for.
+func ProbeFor() float64 { return probeFor }
--- /dev/null
+++ b/internal/engine/nodes.go
@@ -0,0 +1,315 @@
+package engine
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"ravenpond/internal/decide/doubt"
+	"ravenpond/logic"
+)
+
+// ListBegin opens news of the node list; ListNode and ListEnd follow, as the module is told them.
+func (e *Engine) ListBegin(now float64, kind logic.ListKind) {
+	e.now, e.news = now, true
+	e.listKind = kind
+	e.page++
+	e.sched.ListBegin(now, kind)
+}
+
+// ListNode is one entry; startedAt is on the wall clock, 0 for long ago.
+func (e *Engine) ListNode(id uint32, address string, avail logic.Availability, startedAt, freeCores,
+	freeMemory float64, zone, cell, kind int) {
+	nd, ok := e.nodeAt[id]
+	if !ok {
+		if avail == logic.Gone {
+			return
+		}
+		nd = len(e.nodes)
+		e.nodeAt[id] = nd
+		e.nodes = append(e.nodes, node{id: id})
+	}
+	n := &e.nodes[nd]
+	n.page = e.page
+	if n.address != address && n.linked {
+		e.edge.Hang(id, "moved to another address")
+	}
+	n.address = address
+	e.turn(nd, avail)
+	since := 0.0
+	if startedAt > 0 {
+		since = max(0, startedAt-e.terms.Clock) // one who started before this clock's zero started long ago
+	}
+	e.sched.ListNode(e.now, id, avail, since, freeCores, freeMemory, zone, cell, kind)
+}
+
+// ListEnd closes the news.
+func (e *Engine) ListEnd() {
+	if e.listKind == logic.ListFull || e.listKind == logic.ListCached {
+		for nd := range e.nodes {
+			if e.nodes[nd].page != e.page {
+				e.turn(nd, logic.Gone)
+			}
+		}
+	}
+	e.sched.ListEnd(e.now)
+}
+
+// turn follows a node's availability: what is on the list is kept connected.
+func (e *Engine) turn(nd int, avail logic.Availability) {
+	n := &e.nodes[nd]
+	n.avail = avail
+	e.pacer.Keep(e.now, nd, avail != logic.Gone)
+	if avail == logic.Gone && !n.linked {
+		e.lose(nd)
+	}
+}
+
+// lose ends what was with a node that is gone for good.
+func (e *Engine) lose(nd int) {
+	for i := len(e.nodes[nd].on) - 1; i >= 0; i-- {
+		p := e.nodes[nd].on[i]
+		switch doubt.GoneFrom(false, e.allocs[p].phase != held) {
+		case doubt.MayHave:
+			e.settle(p, logic.Broken, logic.NotTold, nil)
+		case doubt.Never:
+			e.settle(p, logic.Unreached, logic.NotTold, nil)
+		}
+	}
+}
+
+// DialFailed says that no connection to a node could be made.
+func (e *Engine) DialFailed(now float64, id uint32, why string) {
+	e.now, e.news = now, true
+	nd, ok := e.nodeAt[id]
+	if !ok {
+		return
+	}
+	e.pacer.Failed(now, nd)
+	n := &e.nodes[nd]
+	for i := len(n.on) - 1; i >= 0; i-- { // what was to wait for the connection was never sent
+		if p := n.on[i]; e.allocs[p].phase == held {
+			e.settle(p, logic.Unreached, logic.NotTold, nil)
+		}
+	}
+	if n.probing && !n.sent {
+		e.probed(nd, logic.Unreached, nil)
+	}
+}
+
+// Linked says that a node is connected and in which life it is. Held and HeldAll follow.
+func (e *Engine) Linked(now float64, id uint32, life uint64) {
+	e.now, e.news = now, true
+	nd, ok := e.nodeAt[id]
+	if !ok {
+		return
+	}
+	e.pacer.Linked(now, nd)
+	n := &e.nodes[nd]
+	n.linked, n.ready, n.same, n.life = true, false, n.life == life, life
+	for _, p := range n.on {
+		e.allocs[p].seen = false
+	}
+	if !n.same && n.ghosts > 0 { // what the earlier life was asked for is gone with it
+		for name, g := range e.ghosts {
+			if g.nd == nd {
+				e.forget(name)
+			}
+		}
+	}
+}
+
+// Held is one thing that a node holds for this scheduler, told before anything else on a connection.
+func (e *Engine) Held(now float64, id uint32, ticket uint64, try uint8, runsNow bool, jobType, tenant int,
+	service, token uint64, cores, memory float64) error {
+	e.now, e.news = now, true
+	nd, ok := e.nodeAt[id]
+	if !ok {
+		return nil
+	}
+	if jobType >= len(e.effects) || tenant >= len(e.terms.Shares) {
+		return fmt.Errorf("held try %x.%d of unknown job type %d or tenant %d", ticket, try, jobType, tenant)
+	}
+	name := tryName{ticket, try}
+	if p, ok := e.find(ticket, try); ok && e.allocs[p].nd == nd {
+		a := &e.allocs[p]
+		a.seen, a.doubtAt = true, 0
+		if runsNow && a.phase == out {
+			e.started(p, now-a.sentAt)
+		} else if a.stopping {
+			e.edge.Stop(id, ticket, try)
+		} else if a.recalled && a.phase == out {
+			e.edge.Recall(id, ticket, try)
+		}
+		return nil
+	}
+	g, known := e.ghosts[name]
+	if !known {
+		g = ghost{nd: nd, job: jobType, tenant: tenant, service: service, token: token, cores: cores,
+			memory: memory, sentAt: now}
+		if p, ok := e.byToken[named{tenant, token}]; ok {
+			g.alloc = e.allocs[p].id
+		}
+		e.remember(name, g)
+	}
+	switch {
+	case g.nd != nd:
+		return fmt.Errorf("held try %x.%d belongs to another node", ticket, try)
+	case !runsNow: // of an earlier life, or given up: nobody waits for it
+		e.edge.Recall(id, ticket, try)
+	case g.stopped:
+		e.edge.Stop(id, ticket, try)
+	case !known:
+		if _, asked := e.byToken[named{tenant, token}]; asked {
+			e.startedLate(name, g)
+		} else {
+			e.adopt(name, g) // of an earlier life: it runs on, for whoever asks for it again
+		}
+	case !g.started:
+		e.startedLate(name, g)
+	}
+	return nil
+}
+
+// HeldAll closes what a node holds: now it may be sent to.
+func (e *Engine) HeldAll(now float64, id uint32) {
+	e.now, e.news = now, true
+	nd, ok := e.nodeAt[id]
+	if !ok {
+		return
+	}
+	n := &e.nodes[nd]
+	n.ready = true
+	for i := len(n.on) - 1; i >= 0; i-- {
+		p := n.on[i]
+		a := &e.allocs[p]
+		if a.phase == held {
+			e.send(a, n)
+			continue
+		}
+		switch doubt.Returned(n.same, a.seen) {
+		case doubt.MayHave:
+			e.settle(p, logic.Broken, logic.NotTold, nil)
+		case doubt.Ask:
+			e.edge.Claim(id, a.ticket, a.try)
+		}
+	}
+	if n.same && n.ghosts > 0 {
+		e.bar(nd)
+	}
+	if n.probing && !n.sent {
+		n.sent = true
+		e.edge.Probe(id, n.probeSeq)
+	}
+}
+
+// bar claims the given up tries of a node that came back, so that none that lay unread on the way starts yet.
+func (e *Engine) bar(nd int) {
+	var names []tryName
+	for name, g := range e.ghosts {
+		if g.nd == nd && !g.started {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(x, y tryName) int {
+		return cmp.Or(cmp.Compare(x.ticket, y.ticket), cmp.Compare(x.try, y.try))
+	})
+	for _, name := range names {
+		e.edge.Claim(e.nodes[nd].id, name.ticket, name.try)
+	}
+}
+
+// ClaimedHeld is a node's answer to a claim: it holds the try, which runs or not.
+func (e *Engine) ClaimedHeld(now float64, id uint32, ticket uint64, try uint8, runsNow bool) {
+	e.now, e.news = now, true
+	name := tryName{ticket, try}
+	if p, ok := e.find(ticket, try); ok && e.nodes[e.allocs[p].nd].id == id {
+		a := &e.allocs[p]
+		a.doubtAt = 0
+		if runsNow && a.phase == out {
+			e.started(p, now-a.sentAt)
+		} else if a.phase == out && a.recalled {
+			e.edge.Recall(id, ticket, try)
+		}
+	} else if g, ok := e.ghosts[name]; ok && e.nodes[g.nd].id == id {
+		if !runsNow {
+			e.edge.Recall(id, ticket, try)
+		} else if !g.started {
+			e.startedLate(name, g)
+		}
+	}
+}
+
+// ClaimedOver is a node's answer to a claim: the try's outcome, which it may have told before.
+func (e *Engine) ClaimedOver(now float64, id uint32, ticket uint64, try uint8, verdict logic.Verdict,
+	why logic.Reason) {
+	e.now, e.news = now, true
+	if p, ok := e.find(ticket, try); ok && e.nodes[e.allocs[p].nd].id == id {
+		if e.allocs[p].phase == runs && verdict == logic.Refused {
+			verdict = logic.Broken // it can't be so: the node forgot what it started
+		}
+		e.settle(p, verdict, why, nil)
+	} else if g, ok := e.ghosts[tryName{ticket, try}]; ok && e.nodes[g.nd].id == id {
+		e.forget(tryName{ticket, try})
+		if p, ok := e.at[g.alloc]; ok && e.allocs[p].late == (tryName{ticket, try}) {
+			e.allocs[p].late = tryName{}
+		}
+	}
+}
+
+// Unsent says that a try's last byte provably never left this machine. It comes before Unlinked.
+func (e *Engine) Unsent(now float64, id uint32, ticket uint64, try uint8) {
+	e.now, e.news = now, true
+	if p, ok := e.find(ticket, try); ok && e.allocs[p].phase == out && doubt.Broke(false) == doubt.Never {
+		e.settle(p, logic.Unreached, logic.NotTold, nil)
+	}
+}
+
+// Unlinked says that a node's connection is no more.
+func (e *Engine) Unlinked(now float64, id uint32, why string) {
+	e.now, e.news = now, true
+	nd, ok := e.nodeAt[id]
+	if !ok || !e.nodes[nd].linked {
+		return
+	}
+	n := &e.nodes[nd]
+	n.linked, n.ready = false, false
+	e.pacer.Broken(now, nd)
+	if n.avail == logic.Gone {
+		e.lose(nd)
+		return
+	}
+	for _, p := range n.on {
+		a := &e.allocs[p]
+		if a.phase == out || a.phase == runs {
+			a.doubtAt = now + doubt.Patience(a.phase == runs)
+			e.bells.set(a.doubtAt, dueDoubt, uint64(a.id))
+		}
+	}
+	if n.probing && n.sent {
+		e.probed(nd, logic.Broken, nil)
+	}
+}
+
+// Reported is a node's answer to a probe.
+func (e *Engine) Reported(now float64, id uint32, seq uint64, report []float64) error {
+	e.now, e.news = now, true
+	nd, ok := e.nodeAt[id]
+	if !ok {
+		return nil
+	}
+	n := &e.nodes[nd]
+	if seq > n.probeSeq {
+		return fmt.Errorf("report %d for a probe never sent", seq)
+	}
+	if n.probing && seq == n.probeSeq {
+		e.probed(nd, logic.Ended, report)
+	}
+	return nil
+}
+
+func (e *Engine) probed(nd int, verdict logic.Verdict, report []float64) {
+	n := &e.nodes[nd]
+	n.probing = false
+	e.sched.Probed(e.now, n.id, verdict, e.now-n.probeAt, report)
+}
--- /dev/null
+++ b/internal/lab/drill/day.go
@@ -0,0 +1,183 @@
+// Package drill plays a scripted bad day on loopback: a node list, nodes and owners in this process, several
+// scheduler processes beside it, and troubles at their times. What passed on the sockets is then audited.
+package drill
+
+import (
+	_ "embed"
+	"fmt"
+	"io"
+	"slices"
+
+	"ravenpond/internal/sheet"
+	"ravenpond/internal/site"
+)
+
+// DefaultDay is the day that is played if no other is named.
+//
+//go:embed day.xml
+var DefaultDay string
+
+// DefaultSite is the site of the default day; listeners and the list's address are filled in at the start.
+//
+//go:embed site.xml
+var DefaultSite string
+
+// Troubles in the order of their numbers.
+var Troubles = []string{"list-away", "list-behind", "demand", "flood", "hang", "answers-lost", "job-fails",
+	"reports-late", "neighbours", "hall-lost", "restart", "drain", "grow", "kill", "stand-still", "services-stop",
+	"programs-lost", "pressure"}
+
+// Grammar is a day file's.
+var Grammar = &sheet.Element{Name: "day", Attrs: []sheet.Attr{
+	{Name: "name", Kind: sheet.Name, Must: true},
+	{Name: "lasts", Kind: sheet.Duration, Must: true, Min: 1000, Max: 3600e3},
+	{Name: "settles", Kind: sheet.Duration, Default: "8s", Min: 1, Max: 60e3}, // asks end so long before the day
+	{Name: "schedulers", Kind: sheet.Whole, Must: true, Min: 1, Max: 64},
+	{Name: "rate", Kind: sheet.Number, Must: true, Min: 0.1, Max: 1e5}, // new wants a second
+	{Name: "services", Kind: sheet.Whole, Default: "30", Min: 1, Max: 1e5},
+}, Children: []*sheet.Element{
+	{Name: "fleet", Least: 1, Attrs: []sheet.Attr{
+		{Name: "machine", Kind: sheet.Name, Must: true},
+		{Name: "zone", Kind: sheet.Name, Must: true},
+		{Name: "nodes", Kind: sheet.Whole, Must: true, Min: 1, Max: 10000},
+		{Name: "cells", Kind: sheet.Whole, Default: "2", Min: 1, Max: 1000},
+	}},
+	{Name: "node", Least: 1, Most: 1, Attrs: []sheet.Attr{
+		{Name: "look", Kind: sheet.Duration, Must: true, Min: 0.001, Max: 10e3},
+		{Name: "line", Kind: sheet.Whole, Must: true, Min: 1, Max: 1e5},
+		{Name: "starts", Kind: sheet.Whole, Must: true, Min: 1, Max: 1e4},
+		{Name: "no-program", Kind: sheet.Number, Must: true, Min: 1, Max: 1000},
+		{Name: "programs", Kind: sheet.Whole, Must: true, Min: 0, Max: 1e4},
+		{Name: "cold-from", Kind: sheet.Number, Must: true, Min: 0.01, Max: 1},
+		{Name: "fall", Kind: sheet.Number, Must: true, Min: 1, Max: 1e4},
+	}},
+	{Name: "list", Least: 1, Most: 1, Attrs: []sheet.Attr{{Name: "lag", Kind: sheet.Duration, Must: true, Min: 0, Max: 60e3}}},
+	{Name: "work", Least: 1, Key: "job-type", Attrs: []sheet.Attr{
+		{Name: "job-type", Kind: sheet.Name, Must: true},
+		{Name: "part", Kind: sheet.Number, Must: true, Min: 0, Max: 1},
+		{Name: "cores", Kind: sheet.Number, Must: true, Min: 0.01, Max: 1e4},
+		{Name: "memory", Kind: sheet.Number, Must: true, Min: 0.01, Max: 1e6},
+		{Name: "start", Kind: sheet.Duration, Must: true, Min: 0.01, Max: 60e3},
+		{Name: "life", Kind: sheet.Duration, Must: true, Min: 1, Max: 3600e3},
+		{Name: "use", Kind: sheet.Number, Must: true, Min: 0.01, Max: 2},
+		{Name: "priority", Kind: sheet.Whole, Default: "0", Min: 0, Max: 9},
+	}},
+	{Name: "trouble", Attrs: []sheet.Attr{
+		{Name: "kind", Kind: sheet.Word, Must: true, Words: Troubles},
+		{Name: "at", Kind: sheet.Duration, Must: true, Min: 0, Max: 3600e3},
+		{Name: "for", Kind: sheet.Duration, Default: "5s", Min: 1, Max: 3600e3},
+		{Name: "part", Kind: sheet.Number, Default: "0.3", Min: 0, Max: 1},   // of nodes, schedulers or services
+		{Name: "size", Kind: sheet.Number, Default: "0.8", Min: 0, Max: 100}, // factor, or part that fails
+		{Name: "zone", Kind: sheet.Name},
+		{Name: "job-type", Kind: sheet.Name},
+		{Name: "tenant", Kind: sheet.Name},
+		{Name: "how", Kind: sheet.Word, Default: "keep", Words: []string{"keep", "bit-by-bit", "at-once", "silence", "error"}},
+	}},
+}}
+
+type fleet struct {
+	kind, cells, nodes int
+	zone               string
+}
+
+type work struct {
+	job                 int
+	part, cores, memory float64
+	start, life, use    float64
+	priority            int
+	name                string
+	within, target      float64
+	effect              int
+	spread, most, group int
+	window              float64
+}
+
+type trouble struct {
+	kind         int
+	at, last     float64
+	part, size   float64
+	zone, tenant string
+	job          int
+	how          string
+	line         int
+}
+
+// Day is a day that can be played at a site.
+type Day struct {
+	Name                 string
+	lasts, settles, rate float64
+	schedulers, services int
+	fleets               []fleet
+	works                []work
+	troubles             []trouble
+	look                 float64
+	line, starts, keeps  int
+	noProgram, coldFrom  float64
+	fall, lag            float64
+}
+
+// ReadDay reads a day for a site and names what is wrong with it.
+func ReadDay(in io.Reader, place *site.Place) (*Day, []sheet.Fault) {
+	top, faults := sheet.Read(in, Grammar)
+	if top == nil {
+		return nil, faults
+	}
+	index := func(it *sheet.Item, attr, what string, names []string) int {
+		i := slices.Index(names, it.Text(attr))
+		if i < 0 && it.Has(attr) {
+			faults = append(faults, sheet.Fault{Line: it.Line,
+				Text: fmt.Sprintf("the site has no %s %q", what, it.Text(attr))})
+		}
+		return i
+	}
+	n := top.One("node")
+	d := &Day{Name: top.Text("name"), lasts: top.Number("lasts"), settles: top.Number("settles"),
+		rate: top.Number("rate"), schedulers: top.Int("schedulers"), services: top.Int("services"),
+		look: n.Number("look"), line: n.Int("line"), starts: n.Int("starts"), keeps: n.Int("programs"),
+		noProgram: n.Number("no-program"), coldFrom: n.Number("cold-from"), fall: n.Number("fall"),
+		lag: top.One("list").Number("lag")}
+	for _, f := range top.All("fleet") {
+		index(f, "zone", "zone", place.Zones)
+		d.fleets = append(d.fleets, fleet{index(f, "machine", "machine kind", place.Kinds), f.Int("cells"),
+			f.Int("nodes"), f.Text("zone")})
+	}
+	sum := 0.0
+	for _, w := range top.All("work") {
+		job := index(w, "job-type", "job type", place.Jobs)
+		if job < 0 {
+			continue
+		}
+		jt := place.Cluster.JobTypes[job]
+		d.works = append(d.works, work{job: job, part: w.Number("part"), cores: w.Number("cores"),
+			memory: w.Number("memory"), start: w.Number("start"), life: w.Number("life"), use: w.Number("use"),
+			priority: w.Int("priority"), name: w.Text("job-type"), within: place.Expiry[job], target: jt.Target,
+			effect: int(jt.Effect), spread: int(jt.Spread), most: jt.Most, group: int(jt.Group), window: jt.Window})
+		sum += w.Number("part")
+	}
+	if len(faults) == 0 && len(d.works) != len(place.Jobs) {
+		faults = append(faults, sheet.Fault{Line: top.Line, Text: "each job type of the site needs its <work>"})
+	}
+	if sum < 0.999 || sum > 1.001 {
+		faults = append(faults, sheet.Fault{Line: top.Line, Text: fmt.Sprintf("parts of the works sum to %g, not 1", sum)})
+	}
+	for _, t := range top.All("trouble") {
+		index(t, "zone", "zone", place.Zones)
+		index(t, "tenant", "tenant", place.Tenants)
+		tr := trouble{kind: t.Word("kind"), at: t.Number("at"), last: t.Number("for"), part: t.Number("part"),
+			size: t.Number("size"), zone: t.Text("zone"), tenant: t.Text("tenant"),
+			job: index(t, "job-type", "job type", place.Jobs), how: t.Text("how"), line: t.Line}
+		if tr.at > d.lasts {
+			faults = append(faults, sheet.Fault{Line: t.Line, Text: "trouble after the end of the day"})
+		}
+		if Troubles[tr.kind] == "job-fails" && tr.job < 0 {
+			faults = append(faults, sheet.Fault{Line: t.Line, Text: "job-fails needs a job-type"})
+		}
+		d.troubles = append(d.troubles, tr)
+	}
+	slices.SortStableFunc(d.works, func(x, y work) int { return x.job - y.job })
+	slices.SortStableFunc(d.troubles, func(x, y trouble) int { return int(x.at - y.at) })
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return d, nil
+}
--- /dev/null
+++ b/internal/proto/line/line.go
@@ -0,0 +1,237 @@
+// Package line is the common ground of the project's line protocols: messages are lines of fields, opened by a
+// greeting with a header block. It works on bytes and readers alone; time-outs belong to whoever owns the
+// connection.
+package line
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/textproto"
+	"strconv"
+)
+
+// Limits of one message, in bytes and header lines.
+const (
+	MaxLine   = 1024
+	MaxHeader = 32
+	readAhead = 4096
+)
+
+// ErrTooLong is returned when a peer sends more than a message may hold without ending it.
+var ErrTooLong = errors.New("message too long")
+
+// bound stops a stream that sends more than a message may hold before a message ended: a line without end would
+// otherwise fill the memory.
+type bound struct {
+	r    io.Reader
+	left int
+}
+
+func (b *bound) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, ErrTooLong
+	}
+	n, err := b.r.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
+
+// Reader reads messages.
+type Reader struct {
+	raw    *bound
+	buf    *bufio.Reader
+	text   *textproto.Reader
+	fields [][]byte
+}
+
+// NewReader reads from r, which is not read by anyone else after.
+func NewReader(r io.Reader) *Reader {
+	raw := &bound{r: r, left: MaxLine + readAhead}
+	buf := bufio.NewReaderSize(raw, readAhead)
+	return &Reader{raw: raw, buf: buf, text: textproto.NewReader(buf)}
+}
+
+// Next returns the fields of the next line. They hold until the next call. It returns io.EOF between messages
+// and io.ErrUnexpectedEOF inside one.
+func (r *Reader) Next() ([][]byte, error) {
+	r.raw.left = MaxLine + readAhead
+	text, err := r.buf.ReadSlice('\n')
+	switch {
+	case errors.Is(err, bufio.ErrBufferFull), err == nil && len(text) > MaxLine:
+		return nil, ErrTooLong
+	case errors.Is(err, io.EOF) && len(text) > 0:
+		return nil, io.ErrUnexpectedEOF
+	case err != nil:
+		return nil, err
+	}
+	text = text[:len(text)-1]
+	if n := len(text); n > 0 && text[n-1] == '\r' {
+		text = text[:n-1]
+	}
+	r.fields = r.fields[:0]
+	for at := 0; at <= len(text); {
+		end := at
+		for end < len(text) && text[end] != ' ' {
+			if c := text[end]; c < 0x21 || c > 0x7e {
+				return nil, fmt.Errorf("byte %#02x in a line", c)
+			}
+			end++
+		}
+		if end == at {
+			return nil, errors.New("empty field in a line")
+		}
+		r.fields = append(r.fields, text[at:end])
+		at = end + 1
+	}
+	return r.fields, nil
+}
+
+// Buffered tells how many bytes are at hand without another read.
+func (r *Reader) Buffered() int { return r.buf.Buffered() }
+
+// Greeting reads the opening line, which must be want, and the header block after it.
+func (r *Reader) Greeting(want string) (textproto.MIMEHeader, error) {
+	r.raw.left = MaxHeader*MaxLine + readAhead
+	got, err := r.text.ReadLineBytes()
+	if err != nil {
+		return nil, fmt.Errorf("greeting: %w", err)
+	}
+	if string(got) != want {
+		return nil, fmt.Errorf("greeting: %.40q, expected %q", got, want)
+	}
+	head, err := r.text.ReadMIMEHeader()
+	if err != nil {
+		return nil, fmt.Errorf("greeting: %w", err)
+	}
+	if len(head) > MaxHeader {
+		return nil, fmt.Errorf("greeting: %d header fields, at most %d", len(head), MaxHeader)
+	}
+	return head, nil
+}
+
+// AppendGreeting appends an opening line and header fields given as name and value in turn.
+func AppendGreeting(b []byte, opening string, fields ...string) []byte {
+	b = append(append(b, opening...), "\r\n"...)
+	for i := 0; i+1 < len(fields); i += 2 {
+		b = append(append(append(append(b, fields[i]...), ": "...), fields[i+1]...), "\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
+
+// Fields takes fields one by one and keeps the first fault, so that a decoder reads like the grammar.
+type Fields struct {
+	rest [][]byte
+	err  error
+}
+
+// Take starts on the fields after the word of a line.
+func Take(fields [][]byte) Fields { return Fields{rest: fields[1:]} }
+
+// Left is the number of fields not yet taken.
+func (f *Fields) Left() int { return len(f.rest) }
+
+// End returns the first fault; fields left over are one.
+func (f *Fields) End() error {
+	if f.err == nil && len(f.rest) > 0 {
+		return fmt.Errorf("%d fields too many", len(f.rest))
+	}
+	return f.err
+}
+
+func (f *Fields) next() string {
+	if len(f.rest) == 0 {
+		if f.err == nil {
+			f.err = errors.New("too few fields")
+		}
+		return ""
+	}
+	s := f.rest[0]
+	f.rest = f.rest[1:]
+	return string(s) // strconv keeps no reference, so this copy stays on the stack
+}
+
+func (f *Fields) fault(what, got string, err error) {
+	if f.err == nil && err != nil {
+		f.err = fmt.Errorf("bad %s %.24q", what, got)
+	}
+}
+
+// Uint takes an unsigned decimal of so many bits.
+func (f *Fields) Uint(what string, bits int) uint64 {
+	s := f.next()
+	v, err := strconv.ParseUint(s, 10, bits)
+	f.fault(what, s, err)
+	return v
+}
+
+// Hex takes 64 bits in hexadecimal.
+func (f *Fields) Hex(what string) uint64 {
+	s := f.next()
+	v, err := strconv.ParseUint(s, 16, 64)
+	f.fault(what, s, err)
+	return v
+}
+
+// Float takes a finite decimal.
+func (f *Fields) Float(what string) float64 {
+	s := f.next()
+	v, err := strconv.ParseFloat(s, 64)
+	if err == nil && (math.IsNaN(v) || math.IsInf(v, 0)) {
+		err = strconv.ErrRange
+	}
+	f.fault(what, s, err)
+	return v
+}
+
+// Word takes one of the words and returns its place.
+func (f *Fields) Word(what string, words []string) int {
+	s := f.next()
+	for i, w := range words {
+		if s == w {
+			return i
+		}
+	}
+	f.fault(what, s, strconv.ErrSyntax)
+	return 0
+}
+
+// Text takes a field as it stands.
+func (f *Fields) Text() string { return f.next() }
+
+// Number appends a space and a float with at most three decimals, enough for milliseconds and shares.
+func Number(b []byte, v float64) []byte {
+	b = append(b, ' ')
+	if v == math.Trunc(v) && math.Abs(v) < 1e15 {
+		return strconv.AppendInt(b, int64(v), 10)
+	}
+	return strconv.AppendFloat(b, v, 'f', 3, 64)
+}
+
+// Int appends a space and an unsigned decimal.
+func Int(b []byte, v uint64) []byte { return strconv.AppendUint(append(b, ' '), v, 10) }
+
+// HexInt appends a space and 64 bits in hexadecimal.
+func HexInt(b []byte, v uint64) []byte { return strconv.AppendUint(append(b, ' '), v, 16) }
+
+// Word appends a space and a word.
+func Word(b []byte, s string) []byte { return append(append(b, ' '), s...) }
+
+// Reason makes a text fit one field: spaces become dashes, and what no field may hold a question mark.
+func Reason(s string) string {
+	if s == "" {
+		return "-"
+	}
+	b := []byte(s[:min(len(s), 200)])
+	for i, c := range b {
+		switch {
+		case c == ' ':
+			b[i] = '-'
+		case c < 0x21 || c > 0x7e:
+			b[i] = '?'
+		}
+	}
+	return string(b)
+}
--- /dev/null
+++ b/internal/serve/owners.go
@@ -0,0 +1,271 @@
+package serve
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/creachadair/jrpc2"
+
+	"ravenpond/internal/engine"
+	"ravenpond/internal/proto/owners"
+	"ravenpond/logic"
+)
+
+// owner is a connection at the owners' door. What it is told waits in a bounded queue.
+type owner struct {
+	s    *server
+	id   uint32
+	srv  *jrpc2.Server
+	news chan []byte // bodies of notifications
+	gone chan struct{}
+	once sync.Once
+}
+
+// Words of the protocol for an allocation's end.
+var ends = [...]string{logic.Ended: "ended", logic.Errored: "error", logic.Refused: "refused",
+	logic.TimedOut: "timed-out", logic.Unreached: "unreached", logic.Broken: "lost", logic.CalledOff: "stopped",
+	logic.Unsent: "unsent"}
+
+var reasons = [...]string{"", "no-cores", "no-memory", "long-line", "not-here", "evicted", "pushed-out", "sent-away"}
+
+// accept takes owners' connections, as many as the site allows.
+func (s *server) accept(ctx context.Context, door net.Listener) {
+	for {
+		conn, err := door.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			s.log.Error().Str("mode", "owners").Err(err).Msg("not accepted")
+			time.Sleep(20 * time.Millisecond) // out of descriptors: others must close theirs first
+			continue
+		}
+		s.mu.Lock()
+		full := len(s.owners) >= s.who.Place.Owners
+		s.ownerIDs++
+		o := &owner{s: s, id: s.ownerIDs, news: make(chan []byte, s.who.Place.OwnerQueue), gone: make(chan struct{})}
+		if !full {
+			s.owners[o.id] = o
+		}
+		s.mu.Unlock()
+		if full {
+			s.log.Warn().Str("mode", "owners").Int("most", s.who.Place.Owners).Msg("one turned away")
+			conn.Close()
+			continue
+		}
+		s.goes(func() { o.serve(ctx, conn) })
+	}
+}
+
+// serve runs the connection until it ends; what was open for it is given up then.
+func (o *owner) serve(ctx context.Context, conn net.Conn) {
+	s := o.s
+	ch := owners.NewChannel(conn)
+	o.srv = jrpc2.NewServer(o, &jrpc2.ServerOptions{AllowPush: true, Concurrency: 1, DisableBuiltin: true})
+	o.srv.Start(ch)
+	s.goes(func() {
+		for {
+			select {
+			case <-o.gone:
+				return
+			case body := <-o.news:
+				method := "answer"
+				if body[0] == overMark {
+					method, body = "over", body[1:]
+				}
+				if err := o.srv.Notify(ctx, method, json.RawMessage(body)); err != nil {
+					o.cut("write: " + err.Error())
+					return
+				}
+			}
+		}
+	})
+	s.goes(func() {
+		<-o.gone
+		o.srv.Stop()
+		conn.Close()
+	})
+	err := o.srv.Wait()
+	o.cut(fmt.Sprint(err))
+	_ = s.tell(func(now float64) error {
+		delete(s.owners, o.id)
+		s.eng.OwnerGone(now, o.id)
+		return nil
+	})
+}
+
+// cut ends the connection.
+func (o *owner) cut(why string) {
+	o.once.Do(func() {
+		o.s.log.Debug().Uint32("owner", o.id).Str("why", why).Msg("owner's connection ends")
+		close(o.gone)
+	})
+}
+
+const overMark = 'o'
+
+func (o *owner) push(body []byte) {
+	select {
+	case o.news <- body:
+	default:
+		o.cut("slow reader: answers queue up")
+	}
+}
+
+func (o *owner) answer(ref uint64, answer engine.Answer, nd uint32, why string, holdOff float64) {
+	b := strconv.AppendUint(append(make([]byte, 0, 64), `{"ref":`...), ref, 10)
+	b = append(append(append(b, `,"answer":"`...), answer.String()...), '"')
+	if answer == engine.Served {
+		b = strconv.AppendUint(append(b, `,"node":`...), uint64(nd), 10)
+	}
+	if why != "" {
+		b = append(append(append(b, `,"why":"`...), why...), '"')
+	}
+	if holdOff > 0 {
+		b = strconv.AppendFloat(append(b, `,"hold-off-ms":`...), holdOff, 'f', 0, 64)
+	}
+	o.push(append(b, '}'))
+}
+
+func (o *owner) over(ref uint64, verdict logic.Verdict, why logic.Reason) {
+	b := strconv.AppendUint(append(make([]byte, 0, 64), "o{\"ref\":"...), ref, 10)
+	b = append(append(append(b, `,"how":"`...), ends[verdict]...), '"')
+	if int(why) < len(reasons) && why > 0 {
+		b = append(append(append(b, `,"why":"`...), reasons[why]...), '"')
+	}
+	o.push(append(b, '}'))
+}
+
+// drainOwners gives the last answers a moment to leave.
+func (s *server) drainOwners() {
+	for i := 0; i < 100; i++ {
+		left := 0
+		s.mu.Lock()
+		for _, o := range s.owners {
+			left += len(o.news)
+		}
+		s.mu.Unlock()
+		if left == 0 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(10 * time.Millisecond) // the one that has just been taken from a queue
+}
+
+// Assign gives the method for a name, as jrpc2 asks for.
+func (o *owner) Assign(_ context.Context, method string) jrpc2.Handler {
+	switch method {
+	case "allocate":
+		return o.allocate
+	case "withdraw":
+		return o.withdraw
+	}
+	return nil
+}
+
+func fields(req *jrpc2.Request, into any) error {
+	dec := json.NewDecoder(bytes.NewReader([]byte(req.ParamString())))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return jrpc2.Errorf(jrpc2.InvalidParams, "%v", err)
+	}
+	return nil
+}
+
+// Hash is what a name is to the scheduler: services and keys are told apart by 64 bits of it.
+func Hash(parts ...string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, p := range parts {
+		_, _ = d.WriteString(p) // a digest takes every write
+		_, _ = d.WriteString("\x00")
+	}
+	return d.Sum64()
+}
+
+// Token is what tells repeats of a key apart.
+func Token(tenant, key string) uint64 { return Hash("key", tenant, key) }
+
+// Service is a service's key, the same at all schedulers.
+func Service(tenant, service string) uint64 { return Hash("service", tenant, service) }
+
+const maxName = 200
+
+func (o *owner) allocate(_ context.Context, req *jrpc2.Request) (any, error) {
+	var ask struct {
+		Ref     uint64  `json:"ref"`
+		Tenant  string  `json:"tenant"`
+		Key     string  `json:"key"`
+		JobType string  `json:"job-type"`
+		Service string  `json:"service"`
+		Cores   float64 `json:"cores"`
+		Memory  float64 `json:"memory"`
+		Within  float64 `json:"within-ms"`
+		SentAt  float64 `json:"sent-at-ms"` // wall clock
+	}
+	if err := fields(req, &ask); err != nil {
+		return nil, err
+	}
+	place := o.s.who.Place
+	tenant, job := slices.Index(place.Tenants, ask.Tenant), slices.Index(place.Jobs, ask.JobType)
+	fault := ""
+	switch {
+	case ask.Ref == 0:
+		fault = "ref: a number above 0 is expected"
+	case tenant < 0:
+		fault = fmt.Sprintf("tenant %q is not known", ask.Tenant)
+	case job < 0:
+		fault = fmt.Sprintf("job-type %q is not known", ask.JobType)
+	case ask.Key == "" || len(ask.Key) > maxName:
+		fault = fmt.Sprintf("key: 1 to %d bytes are expected", maxName)
+	case ask.Service == "" || len(ask.Service) > maxName:
+		fault = fmt.Sprintf("service: 1 to %d bytes are expected", maxName)
+	case !(ask.Cores > 0) || !(ask.Memory > 0) || math.IsInf(ask.Cores+ask.Memory, 0):
+		fault = "cores and memory: numbers above 0 are expected"
+	case ask.Within < 0 || ask.Within > 3600e3:
+		fault = "within-ms: 0 to 3600000 is expected"
+	}
+	if fault != "" {
+		return nil, jrpc2.Errorf(jrpc2.InvalidParams, "%s", fault)
+	}
+	if ask.Within == 0 {
+		ask.Within = place.Expiry[job]
+	}
+	// An ask that lay unread while the process stood still has less time left. An owner's clock that is behind only
+	// shortens the time further; one that is ahead changes nothing.
+	if late := float64(time.Now().UnixMilli()) - ask.SentAt; ask.SentAt > 0 && late > 0 {
+		ask.Within -= late
+	}
+	err := o.s.tell(func(now float64) error {
+		return o.s.eng.Allocate(now, o.id, ask.Ref, job, tenant, Service(ask.Tenant, ask.Service),
+			Token(ask.Tenant, ask.Key), ask.Cores, ask.Memory, ask.Within)
+	})
+	if err != nil {
+		return nil, jrpc2.Errorf(jrpc2.InvalidParams, "%v", err)
+	}
+	return true, nil
+}
+
+func (o *owner) withdraw(_ context.Context, req *jrpc2.Request) (any, error) {
+	var ask struct {
+		Ref uint64 `json:"ref"`
+	}
+	if err := fields(req, &ask); err != nil {
+		return nil, err
+	}
+	if err := o.s.tell(func(now float64) error { return o.s.eng.Withdraw(now, o.id, ask.Ref) }); err != nil {
+		return nil, jrpc2.Errorf(jrpc2.InvalidParams, "%v", err)
+	}
+	return true, nil
+}
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,215 @@
+// Package site reads the site file: what an operator says of the cluster, its job types, tenants, rules and
+// listeners. Every fault is named with its line.
+package site
+
+import (
+	_ "embed"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"ravenpond/internal/sheet"
+	"ravenpond/logic"
+)
+
+// Schema is the XML schema of site files, written from the same grammar that the reader follows.
+//
+//go:embed site.xsd
+var Schema string
+
+// Example is a site file to start from.
+//
+//go:embed example.xml
+var Example string
+
+const hour = 3600e3
+
+// Grammar is the site file's.
+var Grammar = &sheet.Element{Name: "site", Attrs: []sheet.Attr{{Name: "name", Kind: sheet.Name, Must: true}},
+	Children: []*sheet.Element{
+		{Name: "cluster", Least: 1, Most: 1, Attrs: []sheet.Attr{
+			{Name: "schedulers", Kind: sheet.Whole, Must: true, Min: 1, Max: 100000},
+			{Name: "list", Kind: sheet.Word, Must: true, Words: []string{"told", "asked"}},
+			{Name: "ask-every", Kind: sheet.Duration, Default: "10s", Min: 100, Max: hour},
+			{Name: "step", Kind: sheet.Duration, Default: "2ms", Min: 0.1, Max: 100},
+			{Name: "tries", Kind: sheet.Whole, Default: "4", Min: 1, Max: 200},
+			{Name: "recall", Kind: sheet.Bool, Default: "true"},
+			{Name: "probe", Kind: sheet.Bool, Default: "true"},
+			{Name: "cores-limit", Kind: sheet.Number, Must: true, Min: 0.1, Max: 100},
+			{Name: "memory-limit", Kind: sheet.Number, Must: true, Min: 0.1, Max: 100},
+			{Name: "list-has-room", Kind: sheet.Bool, Default: "true"},
+			{Name: "reports", Kind: sheet.Word, Default: "asked", Words: []string{"asked", "used"}},
+			{Name: "reports-come", Kind: sheet.Word, Default: "answers", Words: []string{"answers", "probes"}},
+			{Name: "pushes-out", Kind: sheet.Bool, Default: "false"},
+			{Name: "mean-cores", Kind: sheet.Number, Must: true, Min: 1e-6, Max: 1e6},
+			{Name: "mean-memory", Kind: sheet.Number, Must: true, Min: 1e-6, Max: 1e9},
+			{Name: "fleet-price", Kind: sheet.Number, Default: "0", Min: 0, Max: 1e6},
+		}},
+		{Name: "rules", Least: 1, Most: 1, Attrs: []sheet.Attr{
+			{Name: "drain-grace", Kind: sheet.Duration, Must: true, Min: 1, Max: hour},
+			{Name: "cold-bears", Kind: sheet.Number, Must: true, Min: 1, Max: 1e6},
+			{Name: "cold-for", Kind: sheet.Duration, Must: true, Min: 1, Max: hour},
+			{Name: "cold-window", Kind: sheet.Duration, Must: true, Min: 1, Max: hour},
+			{Name: "answer-margin", Kind: sheet.Duration, Default: "100ms", Min: 1, Max: 60e3},
+			{Name: "settle", Kind: sheet.Duration, Default: "3s", Min: 1, Max: hour},
+		}},
+		{Name: "zone", Least: 1, Key: "name", Attrs: []sheet.Attr{{Name: "name", Kind: sheet.Name, Must: true}}},
+		{Name: "machine", Least: 1, Key: "kind", Attrs: []sheet.Attr{
+			{Name: "kind", Kind: sheet.Name, Must: true},
+			{Name: "cores", Kind: sheet.Number, Must: true, Min: 0.01, Max: 1e6},
+			{Name: "memory", Kind: sheet.Number, Must: true, Min: 0.01, Max: 1e9},
+		}},
+		{Name: "job-type", Least: 1, Key: "name", Attrs: []sheet.Attr{
+			{Name: "name", Kind: sheet.Name, Must: true},
+			{Name: "effect", Kind: sheet.Word, Must: true, Words: []string{"restartable", "tokened", "run-once"}},
+			{Name: "group", Kind: sheet.Word, Words: []string{"all", "zone", "cell"}},
+			{Name: "window", Kind: sheet.Duration, Min: 1, Max: 24 * hour},
+			{Name: "target", Kind: sheet.Duration, Must: true, Min: 1, Max: hour},
+			{Name: "expiry", Kind: sheet.Duration, Must: true, Min: 10, Max: hour},
+			{Name: "value", Kind: sheet.Number, Must: true, Min: 0, Max: 1e9},
+			{Name: "machine", Kind: sheet.Name},
+			{Name: "spread", Kind: sheet.Word, Default: "anywhere", Words: []string{"anywhere", "node", "cell", "zone"}},
+			{Name: "most", Kind: sheet.Whole, Min: 1, Max: 1e6},
+		}},
+		{Name: "tenant", Least: 1, Key: "name", Attrs: []sheet.Attr{
+			{Name: "name", Kind: sheet.Name, Must: true},
+			{Name: "share", Kind: sheet.Number, Must: true, Min: 0, Max: 1},
+		}},
+		{Name: "limits", Most: 1, Least: 1, Attrs: []sheet.Attr{
+			{Name: "open", Kind: sheet.Whole, Must: true, Min: 1, Max: 1e7},
+			{Name: "owners", Kind: sheet.Whole, Default: "1000", Min: 1, Max: 1e6},
+			{Name: "owner-queue", Kind: sheet.Whole, Default: "20000", Min: 16, Max: 1e7},
+			{Name: "node-queue", Kind: sheet.Whole, Default: "262144", Min: 4096, Max: 1 << 30},
+		}},
+		{Name: "node-list", Least: 1, Most: 1, Attrs: []sheet.Attr{{Name: "address", Kind: sheet.Address, Must: true}}},
+		{Name: "owners", Least: 1, Most: 1, Attrs: []sheet.Attr{{Name: "listen", Kind: sheet.Address, Must: true}}},
+	}}
+
+// Place is what a site file says.
+type Place struct {
+	Name               string
+	Cluster            logic.Cluster
+	Zones, Kinds, Jobs []string
+	Tenants            []string
+	Shares             []float64
+	Expiry             []float64 // by job type, for owners that name none
+	DrainGrace         float64
+	Margin, Settle     float64
+	Open               int
+	Owners, OwnerQueue int
+	NodeQueue          int
+	ListAddress        string
+	OwnersListen       string
+}
+
+// Load reads a site file. All faults are in the error, a line each.
+func Load(path string) (*Place, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("site file: %w", err)
+	}
+	defer f.Close()
+	p, faults := Read(f)
+	if len(faults) > 0 {
+		var b strings.Builder
+		fmt.Fprintf(&b, "site file %s: %d faults", path, len(faults))
+		for _, fault := range faults {
+			fmt.Fprintf(&b, "\n  %s", fault)
+		}
+		return nil, fmt.Errorf("%s", b.String())
+	}
+	return p, nil
+}
+
+// Read reads a site file and names what is wrong with it.
+func Read(in io.Reader) (*Place, []sheet.Fault) {
+	top, faults := sheet.Read(in, Grammar)
+	if top == nil {
+		return nil, faults
+	}
+	fault := func(it *sheet.Item, format string, args ...any) {
+		faults = append(faults, sheet.Fault{Line: it.Line, Text: fmt.Sprintf(format, args...)})
+	}
+	cl, rules, limits := top.One("cluster"), top.One("rules"), top.One("limits")
+	p := &Place{Name: top.Text("name"), DrainGrace: rules.Number("drain-grace"), Margin: rules.Number("answer-margin"),
+		Settle: rules.Number("settle"), Open: limits.Int("open"), Owners: limits.Int("owners"),
+		OwnerQueue: limits.Int("owner-queue"), NodeQueue: limits.Int("node-queue"),
+		ListAddress: top.One("node-list").Text("address"), OwnersListen: top.One("owners").Text("listen")}
+	p.Cluster = logic.Cluster{
+		Schedulers: cl.Int("schedulers"), AsksForList: cl.Text("list") == "asked", AskEvery: cl.Number("ask-every"),
+		Step: cl.Number("step"), MaxTries: cl.Int("tries"), MayRecall: cl.Bool("recall"), MayProbe: cl.Bool("probe"),
+		CoresLimit: cl.Number("cores-limit"), MemoryLimit: cl.Number("memory-limit"),
+		ListsFree: cl.Bool("list-has-room"), CountsUse: cl.Text("reports") == "used", Report: []string{"x0", "x1"},
+		ReportsCome: cl.Text("reports-come") == "answers", ColdBears: rules.Number("cold-bears"),
+		ColdFor: rules.Number("cold-for"), FallWindow: rules.Number("cold-window"),
+		Displaces: cl.Bool("pushes-out"), MeanCores: cl.Number("mean-cores"), MeanMemory: cl.Number("mean-memory"),
+		FleetPrice: cl.Number("fleet-price"),
+	}
+	for _, z := range top.All("zone") {
+		p.Zones = append(p.Zones, z.Text("name"))
+	}
+	kinds := map[string]int{}
+	for i, m := range top.All("machine") {
+		kinds[m.Text("kind")] = i
+		p.Kinds = append(p.Kinds, m.Text("kind"))
+		p.Cluster.KindCores = append(p.Cluster.KindCores, m.Number("cores"))
+		p.Cluster.KindMemory = append(p.Cluster.KindMemory, m.Number("memory"))
+	}
+	for _, j := range top.All("job-type") {
+		jt := logic.JobType{Effect: logic.Effect(j.Word("effect")), Group: logic.Group(j.Word("group")),
+			Window: optional(j, "window"), Target: j.Number("target"), Value: j.Number("value"), Kind: -1,
+			Spread: logic.Place(j.Word("spread")), Most: 1}
+		if name := j.Text("machine"); name != "" {
+			k, ok := kinds[name]
+			if !ok {
+				fault(j, "<job-type>: no <machine> of kind %q", name)
+			}
+			jt.Kind = k
+		}
+		if tokened := jt.Effect == logic.Tokened; tokened != j.Has("group") || tokened != j.Has("window") {
+			fault(j, "<job-type>: group and window stand where the effect is tokened, and only there")
+		}
+		if spread := jt.Spread != logic.Anywhere; spread != j.Has("most") {
+			fault(j, "<job-type>: most stands where there is a spread, and only there")
+		} else if spread {
+			jt.Most = j.Int("most")
+		}
+		if j.Number("target") > j.Number("expiry") {
+			fault(j, "<job-type>: target delay beyond the expiry")
+		}
+		if j.Number("expiry") <= p.Margin+4*p.Cluster.Step {
+			fault(j, "<job-type>: expiry within the answer margin: nothing of it could be taken")
+		}
+		p.Jobs = append(p.Jobs, j.Text("name"))
+		p.Expiry = append(p.Expiry, j.Number("expiry"))
+		p.Cluster.JobTypes = append(p.Cluster.JobTypes, jt)
+	}
+	sum := 0.0
+	for _, t := range top.All("tenant") {
+		p.Tenants = append(p.Tenants, t.Text("name"))
+		p.Shares = append(p.Shares, t.Number("share"))
+		sum += t.Number("share")
+	}
+	if sum > 1+1e-9 {
+		fault(top, "shares of the tenants sum to %g, over 1", sum)
+	}
+	if p.Cluster.AsksForList && p.Cluster.AskEvery < 4*p.DrainGrace/2 {
+		fault(cl, "<cluster>: ask-every %g ms leaves no time to ask again within the drain grace", p.Cluster.AskEvery)
+	}
+	if len(p.Zones) > 255 || len(p.Kinds) > 255 {
+		fault(top, "at most 255 zones and machine kinds")
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return p, nil
+}
+
+// optional is a number that may be absent.
+func optional(it *sheet.Item, name string) float64 {
+	if !it.Has(name) {
+		return 0
+	}
+	return it.Number(name)
+}
--- /dev/null
+++ b/internal/standin/list.go
@@ -0,0 +1,300 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"sync"
+	"time"
+
+	"ravenpond/internal/audit"
+	"ravenpond/internal/proto/line"
+	"ravenpond/internal/proto/list"
+)
+
+// List is the node list: it looks at its nodes ten times a second and tells what it saw a while ago.
+type List struct {
+	w       *World
+	ctx     context.Context
+	door    net.Listener
+	mu      sync.Mutex
+	nodes   []*Node
+	ghosts  map[uint32]entry // addresses that nobody answers at
+	history []view
+	version uint64
+
+	Lag  float64 // ms that its news are late
+	More float64 // and more, while it runs behind
+	Away bool    // calls fail
+}
+
+type entry struct {
+	address           string
+	avail             int
+	started           float64
+	cores, memory     float64
+	zone, cell, kind  string
+	seenCores, seenAt float64
+}
+
+// view is what the list saw at a time; each change of an entry has a version.
+type view struct {
+	at      float64
+	version uint64
+	entries map[uint32]entry
+}
+
+const look = 100 // ms between two looks
+
+// StartList puts a list on a loopback port.
+func (w *World) StartList(ctx context.Context, lag float64, nodes []*Node) (*List, error) {
+	var lc net.ListenConfig
+	door, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("list: %w", err)
+	}
+	l := &List{w: w, ctx: ctx, door: door, nodes: nodes, Lag: lag, ghosts: map[uint32]entry{}}
+	l.see()
+	l.history[0].at = math.Inf(-1) // what it knows at the start it has known for long
+	w.goes(func() {
+		tick := time.NewTicker(look * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				door.Close()
+				return
+			case <-tick.C:
+				l.see()
+			}
+		}
+	})
+	w.goes(func() {
+		for {
+			conn, err := door.Accept()
+			if err != nil {
+				return
+			}
+			w.goes(func() { l.serve(conn) })
+		}
+	})
+	return l, nil
+}
+
+// Address is where the list listens.
+func (l *List) Address() string { return l.door.Addr().String() }
+
+// Add puts a node on the list.
+func (l *List) Add(n *Node) {
+	l.mu.Lock()
+	l.nodes = append(l.nodes, n)
+	l.mu.Unlock()
+}
+
+// AddGhost lists a node whose address nobody answers at.
+func (l *List) AddGhost(id uint32, address, zone, cell, kind string) {
+	l.mu.Lock()
+	l.ghosts[id] = entry{address: address, avail: 1, zone: zone, cell: cell, kind: kind}
+	l.mu.Unlock()
+	l.see()
+}
+
+// Set changes the list's faults.
+func (l *List) Set(f func(l *List)) {
+	l.mu.Lock()
+	f(l)
+	l.mu.Unlock()
+}
+
+// see looks at all nodes.
+func (l *List) see() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.w.Now()
+	last := map[uint32]entry{}
+	if n := len(l.history); n > 0 {
+		last = l.history[n-1].entries
+	}
+	next, changed := map[uint32]entry{}, false
+	l.w.At(func(float64) {
+		for _, n := range l.nodes {
+			en := entry{address: n.address, avail: 1, started: n.StartedAt, zone: n.Zone, cell: n.Cell, kind: n.Kind}
+			if n.Lost {
+				en.avail = 0
+			} else if n.Drains {
+				en.avail = 2
+			}
+			en.cores, en.memory = n.Machine.Free()
+			old, known := last[n.ID]
+			if known && old.avail == en.avail && old.started == en.started &&
+				(now-old.seenAt < 1000 || math.Abs(en.cores-old.cores) < 0.5) {
+				next[n.ID] = old
+				continue
+			}
+			en.seenAt, changed = now, true
+			next[n.ID] = en
+			if !known || old.avail != en.avail {
+				l.w.Trace.Add(audit.Record{At: now, Kind: audit.Listed, Node: n.ID, Word: list.Availabilities[en.avail]})
+			}
+		}
+	})
+	for id, en := range l.ghosts {
+		_, known := last[id]
+		next[id], changed = en, changed || !known
+	}
+	if !changed {
+		return
+	}
+	l.version++
+	l.history = append(l.history, view{now, l.version, next})
+	if len(l.history) > 600 {
+		l.history = l.history[len(l.history)-600:]
+	}
+}
+
+// late is what the list tells now.
+func (l *List) late() view {
+	at := l.w.Now() - l.Lag - l.More
+	v := l.history[0]
+	for _, h := range l.history {
+		if h.at <= at {
+			v = h
+		}
+	}
+	return v
+}
+
+// watcher is a scheduler's connection.
+type watcher struct {
+	l       *List
+	sched   string
+	conn    net.Conn
+	mu      sync.Mutex
+	told    *view
+	watches bool
+}
+
+func (l *List) serve(conn net.Conn) {
+	defer conn.Close()
+	in := line.NewReader(conn)
+	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
+	head, err := in.Greeting(list.Opening)
+	if err != nil {
+		_, _ = conn.Write(list.AppendBye(nil, err.Error()))
+		return
+	}
+	if _, err := conn.Write(line.AppendGreeting(nil, list.Opening)); err != nil {
+		return
+	}
+	_ = conn.SetDeadline(time.Time{})
+	c := &watcher{l: l, sched: head.Get("Scheduler"), conn: conn}
+	done := make(chan struct{})
+	defer close(done)
+	l.w.goes(func() {
+		tick := time.NewTicker(look * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-l.ctx.Done():
+				conn.Close()
+				return
+			case <-tick.C:
+				c.mu.Lock()
+				if c.watches && !c.tell(false) {
+					conn.Close()
+				}
+				c.mu.Unlock()
+			}
+		}
+	})
+	for err == nil {
+		var fields [][]byte
+		if fields, err = in.Next(); err == nil {
+			err = list.DecodeScheduler(fields, c)
+		}
+	}
+	if l.ctx.Err() == nil {
+		_, _ = conn.Write(list.AppendBye(nil, err.Error()))
+	}
+}
+
+// tell sends what changed since the last answer; an answer to a call is sent even if nothing did. While the list
+// is away calls fail and watches break.
+func (c *watcher) tell(called bool) bool {
+	l := c.l
+	l.mu.Lock()
+	away, v := l.Away, l.late()
+	l.mu.Unlock()
+	_ = c.conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
+	if away {
+		if !called {
+			return false
+		}
+		l.w.Trace.Add(audit.Record{At: l.w.Now(), Kind: audit.Heard, Sched: c.sched, Word: "failed"})
+		_, err := c.conn.Write(list.AppendFailed(nil, "out of reach"))
+		return err == nil
+	}
+	if c.told != nil && v.version <= c.told.version && !called {
+		return true
+	}
+	kind, old := list.Whole, map[uint32]entry{}
+	if c.told != nil {
+		kind, old = list.Changes, c.told.entries
+		if v.version < c.told.version {
+			v = *c.told
+		}
+	}
+	b, told := list.AppendBegin(nil, kind, v.version), []audit.Record(nil)
+	put := func(id uint32, en entry) {
+		if en.avail == 0 && kind == list.Whole {
+			told = append(told, audit.Record{Kind: audit.Told, Sched: c.sched, Node: id, Word: "gone"}) // by its absence
+			return
+		}
+		b = list.AppendEntry(b, id, en.address, en.avail, en.started, en.cores, en.memory, en.zone, en.cell, en.kind)
+		told = append(told, audit.Record{Kind: audit.Told, Sched: c.sched, Node: id, Word: list.Availabilities[en.avail]})
+	}
+	for id, en := range v.entries {
+		if was, ok := old[id]; !ok || was != en {
+			put(id, en)
+		}
+	}
+	b = list.AppendEnd(b)
+	if _, err := c.conn.Write(b); err != nil {
+		return false
+	}
+	now := l.w.Now()
+	for _, r := range append(told, audit.Record{Kind: audit.Heard, Sched: c.sched}) {
+		r.At = now
+		l.w.Trace.Add(r)
+	}
+	c.told = &v
+	return true
+}
+
+func (c *watcher) call(watches, fresh bool) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if fresh {
+		c.told = nil
+	}
+	if c.tell(true) {
+		c.watches = c.watches || watches
+	}
+	return nil
+}
+
+// Watch answers with all that changed; a version that this connection was not told begins anew.
+func (c *watcher) Watch(since uint64) error {
+	return c.call(true, c.told == nil || c.told.version != since)
+}
+func (c *watcher) Whole() error { return c.call(false, true) }
+func (c *watcher) Unwatch() error {
+	c.mu.Lock()
+	c.watches = false
+	c.mu.Unlock()
+	return nil
+}
+func (c *watcher) Bye(why string) error { return fmt.Errorf("farewell: %s", why) }
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,252 @@
+// Package state keeps what outlives a scheduler process: the last node list and the number of its life, in a
+// folder that one process at a time may hold.
+package state
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/renameio/v2"
+
+	"ravenpond/internal/proto/line"
+	"ravenpond/internal/proto/list"
+)
+
+// Format is the version of the files; one written by a later version is refused.
+const Format = 1
+
+// Errors of reading a file back.
+var (
+	ErrDamaged = errors.New("file is damaged")
+	ErrNewer   = errors.New("file was written by a later version")
+	ErrHeld    = errors.New("folder is held by another process")
+)
+
+// Folder is a scheduler's folder.
+type Folder struct {
+	path string
+	lock *os.File
+}
+
+// Open makes the folder if need be and holds it until Close or the end of the process.
+func Open(path string) (*Folder, error) {
+	if err := os.MkdirAll(path, 0o750); err != nil {
+		return nil, fmt.Errorf("state folder: %w", err)
+	}
+	lock, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, 0o640)
+	if err != nil {
+		return nil, fmt.Errorf("state folder: %w", err)
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		lock.Close()
+		return nil, fmt.Errorf("state folder %s: %w", path, ErrHeld)
+	}
+	return &Folder{path, lock}, nil
+}
+
+// Close lets the folder go.
+func (f *Folder) Close() error { return f.lock.Close() }
+
+// write replaces a file as a whole: after a crash it is the old or the new one. The head holds the version, a
+// checksum and the length of the body.
+func (f *Folder) write(name string, body []byte) error {
+	head := fmt.Sprintf("RAVENPOND-%s %d %016x %d\n", strings.ToUpper(name), Format, xxhash.Sum64(body), len(body))
+	path := filepath.Join(f.path, name)
+	if err := renameio.WriteFile(path, append([]byte(head), body...), 0o640); err != nil {
+		return fmt.Errorf("writing %s: %w", path, err)
+	}
+	dir, err := os.Open(f.path) // the new name itself must be on the disk too
+	if err != nil {
+		return fmt.Errorf("writing %s: %w", path, err)
+	}
+	defer dir.Close()
+	if err := dir.Sync(); err != nil {
+		return fmt.Errorf("writing %s: %w", path, err)
+	}
+	return nil
+}
+
+// read returns a file's body, nil if there is none.
+func (f *Folder) read(name string) ([]byte, error) {
+	path := filepath.Join(f.path, name)
+	text, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	head, body, ok := bytes.Cut(text, []byte("\n"))
+	var version, length int
+	var sum uint64
+	if _, err := fmt.Sscanf(string(head), "RAVENPOND-"+strings.ToUpper(name)+" %d", &version); !ok || err != nil {
+		return nil, fmt.Errorf("%s: no head: %w", path, ErrDamaged)
+	}
+	if version > Format {
+		return nil, fmt.Errorf("%s: format %d, this program reads up to %d: %w", path, version, Format, ErrNewer)
+	}
+	_, err = fmt.Sscanf(string(head), "RAVENPOND-"+strings.ToUpper(name)+" %d %x %d", &version, &sum, &length)
+	if err != nil || length != len(body) || sum != xxhash.Sum64(body) {
+		return nil, fmt.Errorf("%s: %w", path, ErrDamaged)
+	}
+	return body, nil
+}
+
+// NextLife raises the number of this scheduler's life and returns it, on the disk before it is used: tickets of
+// two lives must never be the same.
+func (f *Folder) NextLife() (uint32, error) {
+	body, err := f.read("life")
+	if err != nil {
+		return 0, err
+	}
+	life := uint64(0)
+	if body != nil {
+		if life, err = strconv.ParseUint(strings.TrimSpace(string(body)), 10, 32); err != nil {
+			return 0, fmt.Errorf("life: %w", ErrDamaged)
+		}
+	}
+	life++
+	if life >= 1<<32 {
+		return 0, errors.New("life: numbers are used up")
+	}
+	return uint32(life), f.write("life", strconv.AppendUint(nil, life, 10))
+}
+
+// Entry is a node as the list last told it.
+type Entry struct {
+	ID                               uint32
+	Address                          string
+	Avail                            int
+	StartedAt, FreeCores, FreeMemory float64
+	Zone, Cell, Kind                 string
+}
+
+// List is the node list as a scheduler holds it. Changes apply only to the version that they follow.
+type List struct {
+	Version uint64
+	entries map[uint32]Entry
+	dirty   bool
+	page    map[uint32]bool
+}
+
+// NewList makes an empty list.
+func NewList() *List { return &List{entries: map[uint32]Entry{}} }
+
+// Begin opens an answer. News older than what is held is refused: it would bring back nodes that are gone.
+func (l *List) Begin(kind int, version uint64) error {
+	if version < l.Version {
+		return fmt.Errorf("list version %d after %d", version, l.Version)
+	}
+	l.Version, l.page = version, nil
+	if kind == list.Whole {
+		l.page = map[uint32]bool{}
+	}
+	return nil
+}
+
+// Put takes one entry. One without a change makes nothing to save.
+func (l *List) Put(en Entry) {
+	if l.page != nil {
+		l.page[en.ID] = true
+	}
+	if old, ok := l.entries[en.ID]; ok && old == en {
+		return
+	}
+	l.dirty = true
+	if en.Avail == 0 {
+		delete(l.entries, en.ID)
+		return
+	}
+	l.entries[en.ID] = en
+}
+
+// End closes an answer: what a whole list does not name is gone.
+func (l *List) End() {
+	if l.page != nil {
+		for id := range l.entries {
+			if !l.page[id] {
+				delete(l.entries, id)
+				l.dirty = true
+			}
+		}
+	}
+	l.page = nil
+}
+
+// Entries returns all entries by id.
+func (l *List) Entries() []Entry {
+	all := make([]Entry, 0, len(l.entries))
+	for _, en := range l.entries {
+		all = append(all, en)
+	}
+	slices.SortFunc(all, func(x, y Entry) int {
+		if x.ID < y.ID {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// Changed tells whether there is something to save, once.
+func (l *List) Changed() bool {
+	was := l.dirty
+	l.dirty = false
+	return was
+}
+
+// Text is the list as the file holds it.
+func (l *List) Text() []byte {
+	b := list.AppendBegin(nil, list.Whole, l.Version)
+	for _, en := range l.Entries() {
+		b = list.AppendEntry(b, en.ID, en.Address, en.Avail, en.StartedAt, en.FreeCores, en.FreeMemory,
+			en.Zone, en.Cell, en.Kind)
+	}
+	return list.AppendEnd(b)
+}
+
+// SaveList keeps a list's text for the next start.
+func (f *Folder) SaveList(text []byte) error { return f.write("nodes", text) }
+
+// LoadList reads the last list, nil if there never was one.
+func (f *Folder) LoadList() (*List, error) {
+	body, err := f.read("nodes")
+	if err != nil || body == nil {
+		return nil, err
+	}
+	l := NewList()
+	in := line.NewReader(bufio.NewReader(bytes.NewReader(body)))
+	for l.page != nil || l.Version == 0 && len(l.entries) == 0 {
+		fields, err := in.Next()
+		if err == nil {
+			err = list.DecodeList(fields, loader{l})
+		}
+		if err != nil {
+			return nil, fmt.Errorf("nodes: %w: %w", ErrDamaged, err)
+		}
+	}
+	l.dirty = false
+	return l, nil
+}
+
+// loader reads a list back.
+type loader struct{ l *List }
+
+func (r loader) Begin(kind int, version uint64) error { return r.l.Begin(kind, version) }
+func (r loader) End() error                           { r.l.End(); return nil }
+func (r loader) Failed(string) error                  { return errors.New("a failure in a saved list") }
+func (r loader) Bye(string) error                     { return errors.New("a farewell in a saved list") }
+func (r loader) Entry(id uint32, address string, avail int, startedAt, cores, memory float64,
+	zone, cell, kind string) error {
+	r.l.Put(Entry{id, address, avail, startedAt, cores, memory, zone, cell, kind})
+	return nil
+}
