--- a/internal/decide/doubt/doubt.go
+++ b/internal/decide/doubt/doubt.go
@@ -47,10 +47,10 @@
 // an answer may have been lost on the way.
 func Returned(sameLife, named bool) Fate {
 	switch {
-	case !sameLife:
-		return MayHave
 	case named:
 		return Goes
+	case !sameLife:
+		return MayHave
 	}
 	return Ask
 }
--- /dev/null
+++ b/internal/decide/redial/redial_test.go
@@ -0,0 +1,78 @@
+package redial
+
+import "testing"
+
+func TestStorm(t *testing.T) {
+	p := New(1)
+	for nd := range 2000 {
+		p.Keep(0, nd, true)
+	}
+	under, linked := []int{}, 0
+	for now := 0.0; now < 20000 && linked < 2000; now += 10 {
+		for nd, ok := p.Next(now); ok; nd, ok = p.Next(now) {
+			under = append(under, nd)
+		}
+		if len(under) > atOnce {
+			t.Fatalf("%d dials at once", len(under))
+		}
+		for _, nd := range under {
+			if nd%7 == 0 && now < 3000 {
+				p.Failed(now, nd)
+			} else {
+				p.Linked(now, nd)
+				linked++
+			}
+		}
+		under = under[:0]
+	}
+	if linked != 2000 || p.active != 0 {
+		t.Errorf("%d linked, %d under way", linked, p.active)
+	}
+}
+
+func TestPace(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		wanted      bool
+		least, most int // dials to a node that refuses, in 60 s
+	}{{"refuses", false, 12, 40}, {"refuses and is wanted", true, 200, 420}} {
+		t.Run(c.name, func(t *testing.T) {
+			p, dials := New(3), 0
+			p.Keep(0, 0, true)
+			for now := 0.0; now < 60000; now += 10 {
+				if c.wanted {
+					p.Want(now, 0)
+				}
+				if nd, ok := p.Next(now); ok {
+					dials++
+					p.Failed(now+5, nd)
+				}
+			}
+			if dials < c.least || dials > c.most {
+				t.Errorf("%d dials, want %d to %d", dials, c.least, c.most)
+			}
+		})
+	}
+	t.Run("cuts every connection", func(t *testing.T) {
+		p, dials := New(3), 0
+		p.Keep(0, 0, true)
+		for now := 0.0; now < 60000; now += 10 {
+			if nd, ok := p.Next(now); ok {
+				dials++
+				p.Linked(now, nd)
+				p.Broken(now+5, nd)
+			}
+		}
+		if dials > 40 {
+			t.Errorf("%d connections in 60 s", dials)
+		}
+	})
+	t.Run("no longer kept", func(t *testing.T) {
+		p := New(3)
+		p.Keep(0, 4, true)
+		p.Keep(0, 4, false)
+		if _, ok := p.Next(100); ok {
+			t.Error("dialled")
+		}
+	})
+}
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,407 @@
+package engine
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"ravenpond/logic"
+)
+
+// script is an engine on a virtual clock; its effects are lines, taken by look.
+type script struct {
+	t     *testing.T
+	e     *Engine
+	now   float64
+	lines []string
+	seen  map[uint32]int // offers by node
+	last  struct {
+		nd     uint32
+		ticket uint64
+		try    uint8
+	}
+}
+
+func (s *script) say(format string, args ...any) {
+	s.lines = append(s.lines, fmt.Sprintf(format, args...))
+}
+
+func (s *script) Dial(nd uint32, _ string)    { s.say("dial %d", nd) }
+func (s *script) Hang(nd uint32, why string)  { s.say("hang %d", nd) }
+func (s *script) Follow(bool)                 {}
+func (s *script) Reload()                     {}
+func (s *script) Mode(line string)            { s.say("mode %s", line) }
+func (s *script) Probe(nd uint32, seq uint64) {}
+func (s *script) Offer(nd uint32, ticket uint64, try uint8, _ uint32, _ float64, _, _ int, _, _ uint64, _, _ float64) {
+	s.last.nd, s.last.ticket, s.last.try = nd, ticket, try
+	s.seen[nd]++
+	s.say("offer %d.%d", uint32(ticket), try)
+}
+func (s *script) Recall(nd uint32, ticket uint64, try uint8) {
+	s.say("recall %d.%d", uint32(ticket), try)
+}
+func (s *script) Stop(nd uint32, ticket uint64, try uint8) { s.say("stop %d.%d", uint32(ticket), try) }
+func (s *script) Claim(nd uint32, ticket uint64, try uint8) {
+	s.say("claim %d.%d", uint32(ticket), try)
+}
+func (s *script) Answer(owner uint32, ref uint64, answer Answer, _ uint32, why string, _ float64) {
+	s.say("answer %d %s", ref, answer)
+}
+func (s *script) Over(owner uint32, ref uint64, verdict logic.Verdict, _ logic.Reason) {
+	s.say("over %d %d", ref, verdict)
+}
+
+const (
+	restartable = iota
+	zoned       // tokened, group zone
+	everywhere  // tokened, group all
+	once
+)
+
+// begin starts an engine with four nodes, two to a zone, all connected unless dark.
+func begin(t *testing.T, dark bool) *script {
+	s := &script{t: t, seen: map[uint32]int{}, now: 1000}
+	cl := &logic.Cluster{Schedulers: 1, AskEvery: 10000, Step: 2, MaxTries: 4, MayRecall: true, MayProbe: true,
+		KindCores: []float64{16}, KindMemory: []float64{32}, CoresLimit: 2, MemoryLimit: 1.5, ListsFree: true,
+		Report: []string{"x0", "x1"}, ReportsCome: true, ColdBears: 20, ColdFor: 8000, FallWindow: 2000,
+		MeanCores: 1, MeanMemory: 2, JobTypes: []logic.JobType{
+			{Effect: logic.Restartable, Target: 700, Value: 1, Kind: -1},
+			{Effect: logic.Tokened, Group: logic.GroupZone, Window: 8000, Target: 700, Value: 2, Kind: -1},
+			{Effect: logic.Tokened, Group: logic.GroupAll, Window: 8000, Target: 700, Value: 2, Kind: -1},
+			{Effect: logic.RunOnce, Target: 2000, Value: 3, Kind: -1}}}
+	s.e = New(s, s.now, Terms{Cluster: cl, Shares: []float64{0.5, 0.5}, Open: 100, Margin: 100, Settle: 3000, Life: 1, Seed: 5})
+	s.e.ListBegin(s.now, logic.ListCached)
+	for i := range uint32(4) {
+		s.e.ListNode(i+1, "a", logic.Ready, 0, 16, 32, int(i/2), int(i/2), 0)
+	}
+	s.e.ListEnd()
+	s.e.Round(s.now)
+	for i := range uint32(4) {
+		if !dark {
+			s.link(i+1, 1)
+		}
+	}
+	s.look()
+	return s
+}
+
+func (s *script) link(nd uint32, life uint64) {
+	s.e.Linked(s.now, nd, life)
+	s.e.HeldAll(s.now, nd)
+}
+
+// pass lets time pass in steps of 10 ms.
+func (s *script) pass(ms float64) {
+	for end := s.now + ms; s.now < end; {
+		s.now = min(end, s.now+10)
+		s.e.Round(s.now)
+	}
+}
+
+// ask asks and gives the module a round.
+func (s *script) ask(ref uint64, job int, within float64) {
+	if err := s.e.Allocate(s.now, 7, ref, job, 0, 99, 1000+ref, 1, 2, within); err != nil {
+		s.t.Fatal(err)
+	}
+	s.pass(10)
+}
+
+// look returns the effects since the last look but dials and modes.
+func (s *script) look() string {
+	var kept []string
+	for _, l := range s.lines {
+		if !strings.HasPrefix(l, "dial") && !strings.HasPrefix(l, "mode") {
+			kept = append(kept, l)
+		}
+	}
+	s.lines = nil
+	return strings.Join(kept, ", ")
+}
+
+func (s *script) want(what, got, want string) {
+	s.t.Helper()
+	if got != want {
+		s.t.Errorf("%s: got %q, want %q", what, got, want)
+	}
+}
+
+func (s *script) settled(v logic.Verdict) error {
+	return s.e.Settled(s.now, s.last.nd, s.last.ticket, s.last.try, v, logic.NotTold, []float64{16, 32})
+}
+
+// broken breaks the connection of the last offer; left tells whether the offer may have got through.
+func (s *script) broken(left bool) {
+	if !left {
+		s.e.Unsent(s.now, s.last.nd, s.last.ticket, s.last.try)
+	}
+	s.e.Unlinked(s.now, s.last.nd, "test")
+}
+
+func TestBrokenConnection(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		left bool
+		back func(s *script) // how the node comes back
+		want [4]string       // by job type: what follows within two seconds
+	}{
+		{"never left", false, nil, [4]string{"offer 1.1", "offer 1.1", "offer 1.1", "offer 1.1"}},
+		{"left, node stays away", true, nil, [4]string{"offer 1.1", "offer 1.1", "offer 1.1", "answer 1 failed"}},
+		{"left, node says it never saw it", true, func(s *script) {
+			s.link(s.last.nd, 1)
+			s.e.ClaimedOver(s.now, s.last.nd, s.last.ticket, s.last.try, logic.Refused, logic.NotTold)
+		}, [4]string{"claim 1.0, offer 1.1", "claim 1.0, offer 1.1", "claim 1.0, offer 1.1", "claim 1.0, offer 1.1"}},
+		{"left, node comes back in another life", true, func(s *script) { s.link(s.last.nd, 2) },
+			[4]string{"offer 1.1", "offer 1.1", "offer 1.1", "answer 1 failed"}},
+		{"left, node holds it and it runs", true, func(s *script) {
+			s.e.Linked(s.now, s.last.nd, 1)
+			if err := s.e.Held(s.now, s.last.nd, s.last.ticket, s.last.try, true, 0, 0, 99, 1001, 1, 2); err != nil {
+				s.t.Fatal(err)
+			}
+			s.e.HeldAll(s.now, s.last.nd)
+		}, [4]string{"answer 1 served", "answer 1 served", "answer 1 served", "answer 1 served"}},
+	} {
+		for job, want := range c.want {
+			t.Run(fmt.Sprintf("%s/%d", c.name, job), func(t *testing.T) {
+				s := begin(t, false)
+				s.ask(1, job, 5000)
+				s.want("offer", s.look(), "offer 1.0")
+				first := s.last.nd
+				s.broken(c.left)
+				s.pass(50)
+				if c.back != nil {
+					c.back(s)
+				}
+				s.pass(1900)
+				got := s.look()
+				if i := strings.Index(got, ", recall"); i >= 0 {
+					got = got[:i] // what comes after the first effect does not matter here
+				}
+				s.want("then", got, want)
+				if job == zoned && c.left && strings.Contains(got, "offer 1.1") && c.back == nil &&
+					(first-1)/2 != (s.last.nd-1)/2 {
+					t.Errorf("second try at node %d left the zone of node %d", s.last.nd, first)
+				}
+			})
+		}
+	}
+}
+
+func TestLateStart(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		job  int
+		wait float64 // after which the start of the first try is told
+		want string
+	}{
+		{"restartable, another try out", restartable, 2500, "recall 1.1"},
+		{"tokened, after the answer: kept for the next ask", zoned, 6000, "answer 2 served"},
+		{"run-once, after the answer: kept for the next ask", once, 6000, "answer 2 served"},
+		{"restartable, after the answer: stopped", restartable, 6000, "stop 1.0"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := begin(t, false)
+			s.ask(1, c.job, 5000)
+			nd, ticket := s.last.nd, s.last.ticket
+			s.pass(c.wait)
+			s.look()
+			if err := s.e.Started(s.now, nd, ticket, 0, c.wait); err != nil {
+				t.Fatal(err)
+			}
+			if c.want == "answer 2 served" {
+				if err := s.e.Allocate(s.now, 7, 2, c.job, 0, 99, 1001, 1, 2, 5000); err != nil {
+					t.Fatal(err)
+				}
+			}
+			s.want("then", s.look(), c.want)
+			if c.want == "recall 1.1" { // handed back: the late one serves
+				if err := s.settled(logic.Refused); err != nil {
+					t.Fatal(err)
+				}
+				s.want("then", s.look(), "answer 1 served")
+			}
+		})
+	}
+	t.Run("kept, but nobody asks", func(t *testing.T) {
+		s := begin(t, false)
+		s.ask(1, once, 5000)
+		s.pass(6000)
+		s.look()
+		if err := s.e.Started(s.now, s.last.nd, s.last.ticket, 0, 6000); err != nil {
+			t.Fatal(err)
+		}
+		s.pass(9000)
+		s.want("then", s.look(), "stop 1.0")
+	})
+}
+
+func TestAnswers(t *testing.T) {
+	t.Run("start that crosses the expiry", func(t *testing.T) {
+		s := begin(t, false)
+		s.ask(1, once, 2000)
+		s.look()
+		s.now += 2500 // stood still beyond the expiry: the owner has given up, nothing more is sent to it
+		if err := s.e.Started(s.now, s.last.nd, s.last.ticket, 0, 10); err != nil {
+			t.Fatal(err)
+		}
+		s.pass(500)
+		s.want("after", s.look(), "")
+	})
+	t.Run("each once, before the expiry", func(t *testing.T) {
+		s := begin(t, true) // every node refuses connections
+		for ref := range uint64(4) {
+			s.ask(ref+1, int(ref), 1500)
+		}
+		for range 150 {
+			s.pass(10)
+			for nd := range uint32(4) {
+				if s.e.pacer.Dialling(int(nd)) {
+					s.e.DialFailed(s.now, nd+1, "refused")
+				}
+			}
+		}
+		got := s.look()
+		for ref := range 4 {
+			if n := strings.Count(got, fmt.Sprintf("answer %d declined", ref+1)); n != 1 {
+				t.Errorf("ask %d declined %d times in %q", ref+1, n, got)
+			}
+		}
+		if len(s.e.at) != 0 || s.e.door.Open() != 0 || len(s.e.byToken) != 0 || len(s.e.asks) != 0 {
+			t.Errorf("left over: %+v", s.e.Stats())
+		}
+	})
+	t.Run("over the limit", func(t *testing.T) {
+		s := begin(t, true)
+		for ref := range uint64(140) {
+			_ = s.e.Allocate(s.now, 7, ref+1, restartable, int(ref%2), 99, 1000+ref, 1, 2, 5000)
+		}
+		if got := strings.Count(s.look(), "declined"); got != 40 {
+			t.Errorf("%d declined at once, want 40", got)
+		}
+	})
+	t.Run("too large for any machine", func(t *testing.T) {
+		s := begin(t, false)
+		_ = s.e.Allocate(s.now, 7, 1, restartable, 0, 99, 1, 33, 2, 5000)
+		s.want("answer", s.look(), "answer 1 declined")
+	})
+	t.Run("the same key twice", func(t *testing.T) {
+		s := begin(t, false)
+		s.ask(1, once, 5000)
+		s.look()
+		_ = s.e.Allocate(s.now, 8, 9, once, 0, 99, 1001, 1, 2, 5000)
+		s.want("while open", s.look(), "answer 9 declined")
+		_ = s.e.Started(s.now, s.last.nd, s.last.ticket, 0, 10)
+		s.want("its start", s.look(), "answer 1 served")
+		_ = s.e.Allocate(s.now, 8, 10, once, 0, 99, 1001, 1, 2, 5000)
+		s.want("while it runs", s.look(), "answer 10 served")
+	})
+}
+
+func TestWithdraw(t *testing.T) {
+	for job, want := range [4]string{"answer 1 declined, recall 1.0", "answer 1 failed, recall 1.0",
+		"answer 1 failed, recall 1.0", "answer 1 failed, recall 1.0"} {
+		t.Run(fmt.Sprint(job), func(t *testing.T) {
+			s := begin(t, false)
+			s.ask(1, job, 5000)
+			s.look()
+			if err := s.e.Withdraw(s.now, 7, 1); err != nil {
+				t.Fatal(err)
+			}
+			s.want("out", s.look(), want)
+			if err := s.settled(logic.Refused); err != nil {
+				t.Fatal(err)
+			}
+			s.pass(100)
+			s.want("after", s.look(), "")
+			if err := s.e.Withdraw(s.now, 7, 1); err == nil {
+				t.Error("withdrawn twice")
+			}
+		})
+	}
+}
+
+func TestPeerFaults(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(s *script) error
+	}{
+		{"unknown try", func(s *script) error { return s.e.Started(s.now, s.last.nd, s.last.ticket, 9, 1) }},
+		{"another node's try", func(s *script) error { return s.e.Started(s.now, s.last.nd%4+1, s.last.ticket, 0, 1) }},
+		{"second start", func(s *script) error {
+			_ = s.e.Started(s.now, s.last.nd, s.last.ticket, 0, 1)
+			return s.e.Started(s.now, s.last.nd, s.last.ticket, 0, 1)
+		}},
+		{"second outcome", func(s *script) error {
+			_ = s.e.Started(s.now, s.last.nd, s.last.ticket, 0, 1)
+			_ = s.settled(logic.Ended)
+			return s.settled(logic.Ended)
+		}},
+		{"refused after its start", func(s *script) error {
+			_ = s.e.Started(s.now, s.last.nd, s.last.ticket, 0, 1)
+			return s.settled(logic.Refused)
+		}},
+		{"report never asked for", func(s *script) error { return s.e.Reported(s.now, 1, 99, nil) }},
+		{"held, of an unknown job type", func(s *script) error {
+			return s.e.Held(s.now, 1, 5, 0, true, 17, 0, 1, 1, 1, 1)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := begin(t, false)
+			s.ask(1, once, 5000)
+			if c.do(s) == nil {
+				t.Error("not noticed")
+			}
+		})
+	}
+}
+
+func TestRestart(t *testing.T) {
+	s := begin(t, true)
+	s.e.Linked(s.now, 2, 1)
+	for i, runs := range []bool{true, false} { // of an earlier life of this scheduler
+		if err := s.e.Held(s.now, 2, uint64(77+i), 1, runs, once, 0, 99, uint64(1001+i), 1, 2); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.e.HeldAll(s.now, 2)
+	s.want("what waits is recalled", s.look(), "recall 78.1")
+	_ = s.e.Allocate(s.now, 7, 1, once, 0, 99, 1001, 1, 2, 5000)
+	s.want("what runs is found", s.look(), "answer 1 served")
+	if err := s.e.Settled(s.now, 2, 77, 1, logic.Ended, logic.NotTold, nil); err != nil {
+		t.Fatal(err)
+	}
+	s.want("its end", s.look(), fmt.Sprintf("over 1 %d", logic.Ended))
+}
+
+func TestStandStill(t *testing.T) {
+	s := begin(t, false)
+	s.ask(1, restartable, 8000)
+	s.look()
+	nd := s.last.nd
+	s.now += 3000
+	s.e.Round(s.now) // the try's time is up, but first what came in meanwhile is heard
+	s.want("at once", s.look(), "")
+	if err := s.e.Started(s.now, nd, s.last.ticket, 0, 30); err != nil {
+		t.Fatal(err)
+	}
+	s.pass(200)
+	s.want("after", s.look(), "answer 1 served")
+}
+
+func TestBells(t *testing.T) {
+	var b bells
+	for i := range 1000 {
+		b.set(float64((i*7919)%500), dueWake, uint64(i))
+	}
+	last, order := math.Inf(-1), uint64(0)
+	for range 1000 {
+		x, ok := b.next(1000)
+		if !ok || x.at < last || x.at == last && x.order < order {
+			t.Fatalf("%v after %g", x, last)
+		}
+		last, order = x.at, x.order
+	}
+	if _, ok := b.next(1000); ok {
+		t.Error("one too many")
+	}
+}
--- a/internal/serve/link.go
+++ b/internal/serve/link.go
@@ -148,7 +148,7 @@
 	for {
 		l.mu.Lock()
 		b, shut := l.queue, l.shut
-		l.queue = spare[:0]
+		l.queue, spare = spare[:0], nil // never the same memory twice: one is written while the other fills
 		l.mu.Unlock()
 		if shut {
 			if l.soft {
@@ -168,11 +168,12 @@
 			if err != nil {
 				l.end("write: " + err.Error())
 			}
-			if spare = b[:0]; cap(spare) > 1<<16 { // a burst's memory is given back
-				spare = nil
+			if cap(b) <= 1<<16 { // a burst's memory is given back
+				spare = b[:0]
 			}
 			continue
 		}
+		spare = b
 		select {
 		case <-l.wake:
 		case <-ping.C:
--- /dev/null
+++ b/internal/site/site_test.go
@@ -0,0 +1,76 @@
+package site
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"ravenpond/internal/sheet"
+)
+
+var update = flag.Bool("update", false, "write site.xsd anew")
+
+func TestExample(t *testing.T) {
+	p, faults := Read(strings.NewReader(Example))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	if p.Cluster.JobTypes[1].Window != 7000 || p.Cluster.JobTypes[2].Kind != 1 || p.Expiry[0] != 5000 {
+		t.Errorf("%+v", p)
+	}
+	if *update {
+		if err := os.WriteFile("site.xsd", []byte(sheet.Schema(Grammar)), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	} else if Schema != sheet.Schema(Grammar) {
+		t.Error("site.xsd is not what the grammar says: go test ./internal/site -update writes it anew")
+	}
+}
+
+func TestFaults(t *testing.T) {
+	for _, c := range []struct{ name, old, new, fault string }{
+		{"unknown element", `<zone name="fort"/>`, `<hall name="fort"/>`, "line 8: <site>: unknown element <hall>"},
+		{"unknown attribute", `step="2ms"`, `stride="2ms"`, `unknown attribute "stride"`},
+		{"duplicate zone", `name="mill"`, `name="quay"`, `line 7: <zone name="quay"> stands in line 6 already`},
+		{"second cluster", `<zone name="quay"/>`, `<zone name="quay"/><owners listen="a:1"/>`, "<owners> more than 1 times"},
+		{"missing element", `<node-list address="127.0.0.1:7410"/>`, ``, "<node-list> is missing"},
+		{"missing attribute", `open="20000"`, ``, `attribute "open" is missing`},
+		{"unit missing", `target="800ms"`, `target="800"`, "duration with its unit"},
+		{"wrong unit", `target="800ms"`, `target="800us"`, "duration with its unit"},
+		{"impossible figure", `tries="4"`, `tries="0"`, "outside 1 to 200"},
+		{"not a number", `cores="16"`, `cores="1e2"`, "a number is expected"},
+		{"impossible word", `effect="run-once"`, `effect="once"`, "one of restartable, tokened, run-once"},
+		{"unknown machine", `machine="large"/>`, `machine="huge"/>`, `no <machine> of kind "huge"`},
+		{"group without token", `effect="restartable"`, `effect="restartable" group="zone"`, "only there"},
+		{"spread without most", `most="6"`, ``, "most stands where there is a spread"},
+		{"target beyond expiry", `target="3s"`, `target="30s"`, "target delay beyond the expiry"},
+		{"shares over one", `share="0.3"`, `share="0.4"`, "sum to 1.1"},
+		{"text", `<limits`, `words <limits`, "only elements"},
+		{"cut off", `</site>`, ``, "not well-formed"},
+		{"twice the attribute", `cores="16"`, `cores="16" cores="16"`, `line 9: <machine>: attribute "cores" twice`},
+		{"doctype", `<site name`, `<!DOCTYPE site><site name`, "document type"},
+		{"no port", `127.0.0.1:7420`, `127.0.0.1`, "host:port"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			text := strings.Replace(Example, c.old, c.new, 1)
+			if text == Example {
+				t.Fatal("nothing replaced")
+			}
+			p, faults := Read(strings.NewReader(text))
+			all := ""
+			for _, f := range faults {
+				all += f.String() + "\n"
+			}
+			if p != nil || !strings.Contains(all, c.fault) {
+				t.Errorf("faults %q, want %q", all, c.fault)
+			}
+		})
+	}
+	t.Run("every fault, not the first alone", func(t *testing.T) {
+		text := strings.NewReplacer(`tries="4"`, `tries="0"`, `share="0.3"`, `share="x"`, `"quay"`, `"q y"`).Replace(Example)
+		if _, faults := Read(strings.NewReader(text)); len(faults) < 3 {
+			t.Errorf("%v", faults)
+		}
+	})
+}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -62,7 +62,8 @@
 	address    string
 	conns      map[string]*peer
 	wake       chan struct{}
-	Jobs       int // job types and tenants that are known
+	unread     []func(now float64) // what came while the machine hung
+	Jobs       int                 // job types and tenants that are known
 	Tenants    int
 }
 
@@ -77,7 +78,10 @@
 	ended bool
 }
 
-const maxQueue = 1 << 20
+const (
+	maxQueue  = 1 << 20
+	maxUnread = 1 << 14
+)
 
 // StartNode puts a machine on a loopback port.
 func (w *World) StartNode(ctx context.Context, n *Node, mk Make, group *Group, seed uint64, cold bool) error {
@@ -127,6 +131,9 @@
 		case <-n.wake:
 		}
 		n.w.At(func(now float64) {
+			if !n.Machine.Hang {
+				n.read(now)
+			}
 			n.Machine.Tick(now)
 			timer.Reset(time.Duration(max(0.5, n.Machine.Next()-now) * 1e6))
 		})
@@ -149,7 +156,7 @@
 
 // Die takes the node away: what it held is lost. Under the world's lock.
 func (n *Node) Die(now float64) {
-	n.Lost = true
+	n.Lost, n.unread = true, nil
 	n.Machine.Restart(now, true)
 	n.door.Close()
 	for _, p := range n.conns {
@@ -302,35 +309,45 @@
 	p.rouse()
 }
 
-// event hands a scheduler's word to the machine. A machine that hangs reads nothing more.
+// event hands a scheduler's word to the machine; one that hangs finds it when it goes on.
 func (p *peer) event(f func(now float64)) error {
-	hangs := true
-	for hangs {
-		p.n.w.At(func(now float64) {
-			if hangs = p.n.Machine.Hang && !p.n.Lost; !hangs && p.n.conns[p.sched] == p {
-				f(now)
-			}
-		})
-		if hangs {
-			if p.n.ctx.Err() != nil {
-				return p.n.ctx.Err()
-			}
-			time.Sleep(20 * time.Millisecond)
+	p.n.w.At(func(now float64) {
+		switch {
+		case p.n.conns[p.sched] != p:
+		case p.n.Machine.Hang && len(p.n.unread) < maxUnread:
+			p.n.unread = append(p.n.unread, func(now float64) {
+				if p.n.conns[p.sched] == p {
+					f(now)
+				}
+			})
+		case !p.n.Machine.Hang:
+			p.n.read(now)
+			f(now)
 		}
-	}
+	})
 	p.n.rouse()
 	return nil
 }
 
+// read hands over what came while the machine hung.
+func (n *Node) read(now float64) {
+	late := n.unread
+	n.unread = nil
+	for _, f := range late {
+		f(now)
+	}
+}
+
 func (p *peer) Offer(ticket uint64, try uint8, epoch uint32, timeout float64, job, tenant int,
 	service, token uint64, cores, memory float64) error {
 	if job >= p.n.Jobs || tenant >= p.n.Tenants {
 		return fmt.Errorf("unknown job type %d or tenant %d", job, tenant)
 	}
+	came := p.n.w.Now()
+	p.n.w.Trace.Add(audit.Record{At: came, Kind: audit.Offered, Sched: p.sched, Node: p.n.ID, Ticket: ticket,
+		Try: try, Job: job, Token: token, Service: service, Until: came + timeout})
 	return p.event(func(now float64) {
-		p.n.w.Trace.Add(audit.Record{At: now, Kind: audit.Offered, Sched: p.sched, Node: p.n.ID, Ticket: ticket,
-			Try: try, Job: job, Token: token, Service: service, Until: now + timeout})
-		p.n.Machine.Offer(now, p.sched, ticket, try, epoch, timeout, job, tenant, service, token, cores, memory)
+		p.n.Machine.Offer(now, p.sched, ticket, try, epoch, timeout-(now-came), job, tenant, service, token, cores, memory)
 	})
 }
 
--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,85 @@
+package state
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"ravenpond/internal/proto/list"
+)
+
+func open(t *testing.T) *Folder {
+	f, err := Open(filepath.Join(t.TempDir(), "s"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { f.Close() })
+	return f
+}
+
+func TestLife(t *testing.T) {
+	f := open(t)
+	for want := uint32(1); want < 4; want++ {
+		if got, err := f.NextLife(); got != want || err != nil {
+			t.Fatalf("%d, %v, want %d", got, err, want)
+		}
+	}
+	if _, err := Open(f.path); !errors.Is(err, ErrHeld) {
+		t.Errorf("second holder: %v", err)
+	}
+}
+
+func TestList(t *testing.T) {
+	f := open(t)
+	if l, err := f.LoadList(); l != nil || err != nil {
+		t.Fatalf("none kept: %v, %v", l, err)
+	}
+	l := NewList()
+	put := func(kind int, version uint64, entries ...Entry) error {
+		if err := l.Begin(kind, version); err != nil {
+			return err
+		}
+		for _, en := range entries {
+			l.Put(en)
+		}
+		l.End()
+		return nil
+	}
+	a, b := Entry{ID: 1, Address: "x:1", Avail: 1, Zone: "z", Cell: "c", Kind: "k"}, Entry{ID: 2, Address: "x:2", Avail: 2, Zone: "z", Cell: "c", Kind: "k"}
+	if put(list.Whole, 5, a, b) != nil || put(list.Changes, 6, Entry{ID: 1}) != nil {
+		t.Fatal("not taken")
+	}
+	if err := put(list.Changes, 4, a); err == nil {
+		t.Error("older news taken: it would bring back what is gone")
+	}
+	if err := f.SaveList(l.Text()); err != nil {
+		t.Fatal(err)
+	}
+	back, err := f.LoadList()
+	if err != nil || len(back.Entries()) != 1 || back.Entries()[0] != b || back.Version != 6 {
+		t.Errorf("%+v, %v", back, err)
+	}
+	path := filepath.Join(f.path, "nodes")
+	good, _ := os.ReadFile(path)
+	for _, c := range []struct {
+		name, text string
+		want       error
+	}{
+		{"torn", string(good[:len(good)-3]), ErrDamaged},
+		{"empty", "", ErrDamaged},
+		{"a bit turned", strings.Replace(string(good), "x:2", "x:3", 1), ErrDamaged},
+		{"later version", strings.Replace(string(good), "NODES 1", "NODES 2", 1), ErrNewer},
+		{"another file", "RAVENPOND-LIFE 1 0 0\n", ErrDamaged},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if l, err := f.LoadList(); l != nil || !errors.Is(err, c.want) {
+				t.Errorf("%v, %v, want %v", l, err, c.want)
+			}
+		})
+	}
+}
