--- a/cmd/ravenpond/main.go
+++ b/cmd/ravenpond/main.go
@@ -9,9 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/google/renameio/v2"
@@ -35,7 +33,7 @@
 
 func main() {
 	var c commands
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := drill.Interrupted()
 	defer stop()
 	k := kong.Parse(&c, kong.Name("ravenpond"), kong.Description("A scheduler for long-running work."),
 		kong.UsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)))
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -36,11 +36,13 @@
 	Offered               // a node received an offer: Ticket, Try, Token, Service, Job, Until
 	Recalled              // a node received a recall
 	Ran                   // a try began to run
+	Confirmed             // and its scheduler was told so
 	Concluded             // a node told a try's outcome: Word
 )
 
 var kindNames = [...]string{"born", "killed", "paused", "resumed", "asked", "answered", "gave-up", "told", "heard",
-	"listed", "node-born", "node-fell", "linked", "unlinked", "offered", "recalled", "ran", "concluded"}
+	"listed", "node-born", "node-fell", "linked", "unlinked", "offered", "recalled", "ran", "confirmed",
+	"concluded"}
 
 func (k Kind) String() string { return kindNames[k] }
 
@@ -171,18 +173,19 @@
 }
 
 type place struct {
-	ticket  uint64
-	try     uint8
-	node    uint32
-	token   uint64
-	service uint64
-	job     int
-	at      float64
-	until   float64
-	settled float64 // 0: no outcome yet
-	never   bool    // its outcome proves that it never ran
-	ran     bool
-	cut     float64 // its connection ended
+	ticket    uint64
+	try       uint8
+	node      uint32
+	token     uint64
+	service   uint64
+	job       int
+	at        float64
+	until     float64
+	settled   float64 // 0: no outcome yet
+	never     bool    // its outcome proves that it never ran
+	ran       bool
+	confirmed bool    // the scheduler knows that it runs
+	cut       float64 // its connection ended
 }
 
 type sched struct {
@@ -297,6 +300,10 @@
 		if p := s.find(r); p != nil {
 			p.ran = true
 		}
+	case Confirmed:
+		if p := s.find(r); p != nil {
+			p.confirmed = true
+		}
 	case Concluded:
 		if p := s.find(r); p != nil && p.settled == 0 {
 			p.settled = r.At
@@ -345,7 +352,7 @@
 	for _, ticket := range s.byToken[a.rec.Token] {
 		for _, p := range s.tries[ticket] {
 			all := c.rules.Jobs[p.job].Effect == Tokened && c.rules.Jobs[p.job].Group == 0
-			if p.at >= a.rec.At && !p.never && p.at < r.At-c.rules.Slack && !all {
+			if p.at >= a.rec.At && !p.never && !all {
 				c.fail(2, r.At, "ask %d of owner %d declined though try %x.%d may have run", r.Ref, r.Owner, ticket, p.try)
 			}
 		}
@@ -433,7 +440,7 @@
 	}
 	here, there, together := c.rules.Nodes[r.Node], Stand{}, 0
 	s.running = slices.DeleteFunc(s.running, func(q *place) bool {
-		return q.settled > 0 || !q.ran && (q.cut > 0 || r.At > q.until)
+		return q.settled > 0 || !q.confirmed && (q.cut > 0 || r.At > q.until)
 	})
 	for _, q := range s.running {
 		there = c.rules.Nodes[q.node]
--- a/internal/lab/drill/day.go
+++ b/internal/lab/drill/day.go
@@ -158,7 +158,7 @@
 		faults = append(faults, sheet.Fault{Line: top.Line, Text: "each job type of the site needs its <work>"})
 	}
 	if sum < 0.999 || sum > 1.001 {
-		faults = append(faults, sheet.Fault{Line: top.Line, Text: fmt.Sprintf("parts of the works sum to %g, not 1", sum)})
+		faults = append(faults, sheet.Fault{Line: top.Line, Text: fmt.Sprintf("parts of the works sum to %.4g, not 1", sum)})
 	}
 	for _, t := range top.All("trouble") {
 		index(t, "zone", "zone", place.Zones)
--- /dev/null
+++ b/internal/lab/drill/drill_test.go
@@ -0,0 +1,117 @@
+package drill
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"ravenpond/internal/serve"
+	"ravenpond/internal/sheet"
+	"ravenpond/internal/site"
+)
+
+// TestMain lets the test's own program be the scheduler process that a drill starts and kills.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "serve" {
+		if err := serveAs(os.Args[2:]); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func serveAs(args []string) error {
+	flags := map[string]string{}
+	for i := 0; i+1 < len(args); i += 2 {
+		flags[args[i]] = args[i+1]
+	}
+	place, err := site.Load(flags["--site"])
+	if err != nil {
+		return err
+	}
+	var index int
+	var seed uint64
+	if _, err := fmt.Sscan(flags["--index"]+" "+flags["--seed"], &index, &seed); err != nil {
+		return err
+	}
+	ctx, stop := Interrupted()
+	defer stop()
+	return serve.Run(ctx, serve.Scheduler{Place: place, Name: flags["--name"], Index: index, Folder: flags["--state"],
+		Seed: seed, Log: zerolog.Nop(), Ready: func(a net.Addr) {
+			if err := os.WriteFile(flags["--address-file"]+".new", []byte(a.String()+"\n"), 0o600); err == nil {
+				_ = os.Rename(flags["--address-file"]+".new", flags["--address-file"])
+			}
+		}})
+}
+
+const shortTroubles = `
+  <trouble kind="list-away" at="2500ms" for="3s"/>
+  <trouble kind="answers-lost" at="3s" for="2s" part="0.3" size="0.8"/>
+  <trouble kind="kill" at="4s" part="0.34"/>
+  <trouble kind="drain" at="4500ms" for="4s" part="0.2" how="at-once"/>
+  <trouble kind="hall-lost" at="6s" for="1500ms" zone="mill"/>
+  <trouble kind="stand-still" at="7500ms" for="2s" part="0.34"/>
+  <trouble kind="kill" at="9500ms" part="0.67"/>
+  <trouble kind="restart" at="10s" for="1s" part="0.4" zone="fort"/>
+  <trouble kind="services-stop" at="11s" part="0.4"/>
+</day>`
+
+// TestShortDay plays a day of 24 s with processes that are killed and stand still among hundreds of tries.
+func TestShortDay(t *testing.T) {
+	place, faults := site.Read(strings.NewReader(DefaultSite))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	text := DefaultDay[:strings.Index(DefaultDay, "  <trouble")] + shortTroubles
+	text = strings.NewReplacer(`lasts="62s"`, `lasts="23s"`, `rate="34"`, `rate="60"`).Replace(text)
+	day, faults := ReadDay(strings.NewReader(text), place)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	res, err := Play(context.Background(), Drill{Day: day, Place: place, Site: DefaultSite, Command: []string{os.Args[0]},
+		Seed: 2, Out: t.TempDir(), Say: func(string, ...any) {}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range res.Breaks {
+		t.Error(b)
+	}
+	if row := res.rows[0]; row.served < 300 || row.asks != row.served+row.declined+row.failed+row.other {
+		t.Errorf("%+v", row)
+	}
+}
+
+func TestDayFaults(t *testing.T) {
+	place, _ := site.Read(strings.NewReader(DefaultSite))
+	if _, faults := ReadDay(strings.NewReader(DefaultDay), place); len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	for _, c := range []struct{ name, old, new, fault string }{
+		{"unknown trouble", `kind="hang"`, `kind="hangover"`, "one of list-away"},
+		{"unknown zone", `zone="mill" nodes="7"`, `zone="moor" nodes="7"`, `no zone "moor"`},
+		{"unknown machine", `machine="small" zone="fort"`, `machine="tiny" zone="fort"`, `no machine kind "tiny"`},
+		{"unknown tenant", `tenant="birch"`, `tenant="oak"`, `no tenant "oak"`},
+		{"parts", `part="0.68"`, `part="0.6"`, "sum to 0.92"},
+		{"a job type left out", `job-type="render" part="0.68"`, `job-type="import" part="0.68"`, "stands in line"},
+		{"after the end", `kind="grow" at="44s"`, `kind="grow" at="440s"`, "after the end of the day"},
+		{"without its job type", `size="0.8" job-type="import"`, `size="0.8"`, "needs a job-type"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, faults := ReadDay(strings.NewReader(strings.Replace(DefaultDay, c.old, c.new, 1)), place)
+			var all []string
+			for _, f := range append(faults, sheet.Fault{}) {
+				all = append(all, f.String())
+			}
+			if got := strings.Join(all, "\n"); !strings.Contains(got, c.fault) {
+				t.Errorf("faults %q, want %q", got, c.fault)
+			}
+		})
+	}
+}
--- a/internal/lab/drill/run.go
+++ b/internal/lab/drill/run.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -606,3 +607,8 @@
 	}
 	return fmt.Sprintf("%.0f", sorted[int(q*float64(len(sorted)-1))])
 }
+
+// Interrupted is a context that ends when the process is told to.
+func Interrupted() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
--- a/internal/serve/link.go
+++ b/internal/serve/link.go
@@ -147,11 +147,11 @@
 	var spare []byte
 	for {
 		l.mu.Lock()
-		b, shut := l.queue, l.shut
+		b, shut, soft := l.queue, l.shut, l.soft
 		l.queue, spare = spare[:0], nil // never the same memory twice: one is written while the other fills
 		l.mu.Unlock()
 		if shut {
-			if l.soft {
+			if soft {
 				_, _ = l.hand(b) // last recalls; nothing waits for their answers
 			}
 			l.farewell()
--- a/internal/serve/list.go
+++ b/internal/serve/list.go
@@ -62,6 +62,9 @@
 	s.eng.ListBegin(now, kind)
 	skipped := 0
 	for _, en := range entries {
+		if s.who.plant.news != nil {
+			s.who.plant.news(&en)
+		}
 		zone, kind := slices.Index(s.who.Place.Zones, en.Zone), slices.Index(s.who.Place.Kinds, en.Kind)
 		if en.Avail != 0 && (zone < 0 || kind < 0) {
 			skipped++
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -27,6 +27,14 @@
 	Seed   uint64
 	Log    zerolog.Logger
 	Ready  func(owners net.Addr) // called once when owners may connect
+
+	plant plant
+}
+
+// plant puts faults into a scheduler for tests of what must find them; the zero value puts none.
+type plant struct {
+	edge func(engine.Edge) engine.Edge
+	news func(*state.Entry)
 }
 
 // Epoch is the zero of every scheduler's clock: all share it, as turns at cold nodes are told by it.
@@ -106,7 +114,11 @@
 	s.ctx = inner
 	cl := who.Place.Cluster
 	cl.Index = who.Index
-	s.eng = engine.New(edge{s}, s.clock.now(), engine.Terms{Cluster: &cl, Shares: who.Place.Shares,
+	var out engine.Edge = edge{s}
+	if who.plant.edge != nil {
+		out = who.plant.edge(out)
+	}
+	s.eng = engine.New(out, s.clock.now(), engine.Terms{Cluster: &cl, Shares: who.Place.Shares,
 		Open: who.Place.Open, Margin: who.Place.Margin, Settle: who.Place.Settle, Life: life, Seed: who.Seed,
 		Clock: float64(Epoch.UnixMilli())})
 	s.lastList()
--- /dev/null
+++ b/internal/serve/serve_test.go
@@ -0,0 +1,444 @@
+package serve
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ravenpond/internal/audit"
+	"ravenpond/internal/engine"
+	"ravenpond/internal/proto/node"
+	"ravenpond/internal/site"
+	"ravenpond/internal/standin"
+	"ravenpond/internal/state"
+)
+
+const testSite = `<site name="test">
+  <cluster schedulers="%d" list="told" tries="4" cores-limit="2" memory-limit="1.5" mean-cores="1" mean-memory="2"/>
+  <rules drain-grace="400ms" cold-bears="12" cold-for="6s" cold-window="1s" answer-margin="200ms" settle="600ms"/>
+  <zone name="east"/><zone name="west"/>
+  <machine kind="plain" cores="32" memory="64"/>
+  <job-type name="free" effect="restartable" target="800ms" expiry="3s" value="1"/>
+  <job-type name="keyed" effect="tokened" group="zone" window="1500ms" target="1s" expiry="3s" value="2" spread="node" most="3"/>
+  <job-type name="once" effect="run-once" target="1s" expiry="1500ms" value="3"/>
+  <tenant name="t" share="1"/>
+  <limits open="5000"/>
+  <node-list address="127.0.0.1:1"/>
+  <owners listen="127.0.0.1:0"/>
+</site>`
+
+// stage is a small world around schedulers that run in this process.
+type stage struct {
+	t     *testing.T
+	dir   string // made before the clean-up below it, so removed after
+	w     *standin.World
+	ctx   context.Context
+	stop  context.CancelFunc
+	place *site.Place
+	nodes []*standin.Node
+	list  *standin.List
+	rules audit.Rules
+	ran   sync.WaitGroup
+	owner []*standin.Owner
+	keys  int
+}
+
+func newStage(t *testing.T, schedulers, nodes int, cold bool) *stage {
+	t.Helper()
+	place, faults := site.Read(strings.NewReader(fmt.Sprintf(testSite, schedulers)))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+	s := &stage{t: t, dir: t.TempDir(), w: standin.NewWorld(), ctx: ctx, stop: stop, place: place}
+	s.rules = audit.Rules{Nodes: map[uint32]audit.Stand{}, Grace: place.DrainGrace, ColdBears: 12, ColdFor: 6000,
+		ColdWindow: 1000, Slack: 400, Jobs: []audit.Job{{}, {Effect: audit.Tokened, Group: 1, Window: 1500, Spread: 1, Most: 3},
+			{Effect: audit.RunOnce}}}
+	mk := standin.Make{Cores: 32, Memory: 64, CoresLimit: 2, MemoryLimit: 1.5, Look: 4, Line: 50, Starts: 8, NoProgram: 3,
+		Programs: 8, ColdFrom: 0.5, ColdFor: 6000, Fall: 1e9, FallFor: 1000, Bears: 12}
+	for job := range 3 {
+		mk.Work = append(mk.Work, standin.Work{Start: 10, Life: 2500, Use: 0.5, Priority: job, Token: job == 1})
+	}
+	groups := []*standin.Group{standin.NewGroup(), standin.NewGroup()}
+	for i := range nodes {
+		n := &standin.Node{ID: uint32(i + 1), Zone: place.Zones[i%2], Cell: place.Zones[i%2], Kind: "plain", Jobs: 3, Tenants: 1}
+		if err := s.w.StartNode(ctx, n, mk, groups[i%2], uint64(i), cold); err != nil {
+			t.Fatal(err)
+		}
+		s.nodes = append(s.nodes, n)
+		s.rules.Nodes[n.ID] = audit.Stand{Zone: n.Zone, Cell: n.Cell}
+	}
+	var err error
+	if s.list, err = s.w.StartList(ctx, 50, s.nodes); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.end)
+	return s
+}
+
+func (s *stage) end() {
+	s.stop()
+	s.ran.Wait()
+	s.w.Wait()
+}
+
+// start runs a scheduler with an owner at it.
+func (s *stage) start(i int, place site.Place, p plant) {
+	place.ListAddress = s.list.Address()
+	name, ready := fmt.Sprintf("s%d", i), make(chan string, 1)
+	s.w.Trace.Add(audit.Record{At: s.w.Now(), Kind: audit.Born, Sched: name})
+	folder := filepath.Join(s.dir, name)
+	s.ran.Add(1)
+	go func() {
+		defer s.ran.Done()
+		err := Run(s.ctx, Scheduler{Place: &place, Name: name, Index: i, Folder: folder, Seed: uint64(i + 1),
+			Log: zerolog.Nop(), Ready: func(a net.Addr) { ready <- a.String() }, plant: p})
+		if err != nil {
+			s.t.Error(err)
+		}
+	}()
+	addr := <-ready
+	o := &standin.Owner{ID: i, Sched: name, Find: func() string { return addr }, Settle: place.Settle}
+	s.owner = append(s.owner, o)
+	s.w.StartOwner(s.ctx, o, uint64(i))
+}
+
+// load asks at a rate for a while: jobs gives the parts of the three job types in ten.
+func (s *stage) load(last, rate float64, jobs string) {
+	for end := s.w.Now() + last; s.w.Now() < end; {
+		s.keys++
+		job := int(jobs[s.keys%len(jobs)] - '0')
+		key, service := fmt.Sprint("k", s.keys), fmt.Sprint("v", job, s.keys%5)
+		jt := s.place.Cluster.JobTypes[job]
+		s.owner[s.keys%len(s.owner)].Ask(&standin.Want{Key: key, Tenant: "t", JobType: s.place.Jobs[job], Service: service,
+			Job: job, Effect: int(jt.Effect), Token: Token("t", key), ServiceKey: Service("t", service), Cores: 1, Memory: 1,
+			Within: s.place.Expiry[job], Target: jt.Target, Until: end})
+		time.Sleep(time.Duration(1e9 / rate))
+	}
+}
+
+// breaks ends the day and returns the broken rules, and how often something was served.
+func (s *stage) breaks() ([]audit.Break, int) {
+	time.Sleep(3600 * time.Millisecond) // every ask is answered or overdue
+	records, served := s.w.Trace.Records(), 0
+	for _, o := range s.owner {
+		for _, t := range o.Tallies() {
+			if t.Word == "served" {
+				served++
+			}
+		}
+	}
+	return audit.Check(records, s.rules), served
+}
+
+// planted wraps an edge.
+type planted struct {
+	engine.Edge
+	answer func(e engine.Edge, owner uint32, ref uint64, answer engine.Answer, nd uint32)
+	offer  func(e engine.Edge, nd uint32, ticket uint64, try uint8, job int, send func(nd uint32, try uint8))
+}
+
+func (p planted) Answer(owner uint32, ref uint64, answer engine.Answer, nd uint32, why string, holdOff float64) {
+	if p.answer == nil {
+		p.Edge.Answer(owner, ref, answer, nd, why, holdOff)
+	} else {
+		p.answer(p.Edge, owner, ref, answer, nd)
+	}
+}
+
+func (p planted) Offer(nd uint32, ticket uint64, try uint8, epoch uint32, timeout float64, job, tenant int,
+	service, token uint64, cores, memory float64) {
+	send := func(nd uint32, try uint8) {
+		p.Edge.Offer(nd, ticket, try, epoch, timeout, job, tenant, service, token, cores, memory)
+	}
+	if p.offer == nil {
+		send(nd, try)
+	} else {
+		p.offer(p.Edge, nd, ticket, try, job, send)
+	}
+}
+
+func offering(f func(e engine.Edge, nd uint32, ticket uint64, try uint8, job int, send func(nd uint32, try uint8))) plant {
+	return plant{edge: func(e engine.Edge) engine.Edge { return planted{Edge: e, offer: f} }}
+}
+
+func answering(f func(e engine.Edge, owner uint32, ref uint64, answer engine.Answer, nd uint32)) plant {
+	return plant{edge: func(e engine.Edge) engine.Edge { return planted{Edge: e, answer: f} }}
+}
+
+// TestPlanted puts faults into schedulers, two for each rule at least; the auditor must name the rule. Without a
+// fault it must name none.
+func TestPlanted(t *testing.T) {
+	mute := func(s *stage) {
+		s.w.At(func(float64) {
+			for _, n := range s.nodes {
+				n.Machine.Mute = 0.8
+			}
+		})
+	}
+	hang := func(s *stage) {
+		s.w.At(func(float64) {
+			for _, n := range s.nodes {
+				n.Machine.Hang = true
+			}
+		})
+	}
+	drain := func(s *stage) {
+		s.w.At(func(now float64) {
+			s.nodes[0].Drains = true
+			s.nodes[0].Machine.Drain(now, false, false)
+		})
+	}
+	for _, c := range []struct {
+		name    string
+		rule    int // 0: none may break
+		jobs    string
+		cold    bool
+		trouble func(s *stage)
+		place   func(p *site.Place)
+		plant   plant
+	}{
+		{name: "none", jobs: "0012"},
+		{name: "none, answers lost", jobs: "0012", trouble: mute},
+		{name: "none, a drain", jobs: "0012", trouble: drain},
+		{name: "none, all cold", jobs: "0012", cold: true},
+		{name: "an answer given twice", rule: 1, jobs: "0", plant: answering(
+			func(e engine.Edge, owner uint32, ref uint64, a engine.Answer, nd uint32) {
+				e.Answer(owner, ref, a, nd, "", 0)
+				e.Answer(owner, ref, a, nd, "", 0)
+			})},
+		{name: "no answer", rule: 1, jobs: "0", plant: answering(
+			func(e engine.Edge, owner uint32, ref uint64, a engine.Answer, nd uint32) {
+				if ref%5 != 0 {
+					e.Answer(owner, ref, a, nd, "", 0)
+				}
+			})},
+		{name: "a second try while one is out", rule: 2, jobs: "0", plant: offering(
+			func(_ engine.Edge, nd uint32, _ uint64, try uint8, _ int, send func(uint32, uint8)) {
+				send(nd, try)
+				send(nd%4+1, try+1)
+			})},
+		{name: "a run-once one declined that may have run", rule: 2, jobs: "2", trouble: mute, plant: answering(
+			func(e engine.Edge, owner uint32, ref uint64, a engine.Answer, nd uint32) {
+				if a == engine.Failed {
+					a = engine.Declined
+				}
+				e.Answer(owner, ref, a, nd, "", 0)
+			})},
+		{name: "a try after the window", rule: 2, jobs: "1", trouble: hang, place: func(p *site.Place) {
+			p.Cluster.JobTypes[1].Window, p.Expiry[1] = 60000, 6000
+		}},
+		{name: "tokens taken for harmless", rule: 2, jobs: "1", trouble: mute, place: func(p *site.Place) {
+			p.Cluster.JobTypes[1].Effect = 0
+		}},
+		{name: "a late send to a draining node", rule: 3, jobs: "0", trouble: drain, plant: offering(
+			func(_ engine.Edge, nd uint32, ticket uint64, try uint8, _ int, send func(uint32, uint8)) {
+				if ticket%4 == 0 {
+					nd = 1
+				}
+				send(nd, try)
+			})},
+		{name: "news of a drain lost", rule: 3, jobs: "0", trouble: drain, plant: plant{news: func(en *state.Entry) {
+			if en.Avail == 2 {
+				en.Avail = 1
+			}
+		}}},
+		{name: "too many offers to a cold node", rule: 4, jobs: "0", cold: true, plant: offering(
+			func(_ engine.Edge, _ uint32, _ uint64, try uint8, _ int, send func(uint32, uint8)) { send(1, try) })},
+		{name: "more expected of a cold node than it bears", rule: 4, jobs: "0", cold: true, place: func(p *site.Place) {
+			p.Cluster.ColdBears, p.Cluster.KindCores = 500, []float64{320}
+		}},
+		{name: "a service all at one node", rule: 5, jobs: "1", plant: offering(
+			func(_ engine.Edge, _ uint32, _ uint64, try uint8, _ int, send func(uint32, uint8)) { send(2, try) })},
+		{name: "a most that is too high", rule: 5, jobs: "1", place: func(p *site.Place) {
+			p.Cluster.JobTypes[1].Most = 50
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newStage(t, 1, 8, c.cold)
+			place := *s.place
+			place.Cluster.JobTypes = append(place.Cluster.JobTypes[:0:0], place.Cluster.JobTypes...)
+			place.Expiry = append(place.Expiry[:0:0], place.Expiry...)
+			if c.place != nil {
+				c.place(&place)
+				s.place.Expiry = place.Expiry
+			}
+			s.start(0, place, c.plant)
+			s.load(2200, 50, c.jobs) // a scheduler without a last list paces all nodes at first
+			if c.trouble != nil {
+				c.trouble(s)
+			}
+			s.load(2000, 50, c.jobs)
+			breaks, served := s.breaks()
+			named := false
+			for _, b := range breaks {
+				named = named || b.Rule == c.rule
+			}
+			if c.rule == 0 && (len(breaks) > 0 || served == 0) || c.rule > 0 && !named {
+				t.Errorf("%d served, breaks %v, want rule %d", served, breaks[:min(3, len(breaks))], c.rule)
+			}
+		})
+	}
+}
+
+// badNode answers connections with what a bad peer would say, and keeps what it hears last.
+func badNode(t *testing.T, id uint32, say string, then func(net.Conn)) (addr string, heard func() string) {
+	door, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { door.Close() })
+	var mu sync.Mutex
+	last := ""
+	go func() {
+		for {
+			conn, err := door.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				in := bufio.NewReader(conn)
+				for line, err := in.ReadString('\n'); err == nil && line != "\r\n"; line, err = in.ReadString('\n') {
+				}
+				_, _ = conn.Write([]byte(strings.ReplaceAll(say, "ID", fmt.Sprint(id))))
+				if then != nil {
+					then(conn)
+				}
+				_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+				for line, err := in.ReadString('\n'); err == nil; line, err = in.ReadString('\n') {
+					if strings.HasPrefix(line, "BYE") {
+						mu.Lock()
+						last = line
+						mu.Unlock()
+					}
+				}
+			}()
+		}
+	}()
+	return door.Addr().String(), func() string { mu.Lock(); defer mu.Unlock(); return last }
+}
+
+// TestBadPeers puts bad nodes beside good ones: each bad connection ends with its reason, and nothing else suffers.
+func TestBadPeers(t *testing.T) {
+	hello := node.Opening + "\r\nNode: ID\r\nLife: 3\r\n\r\n"
+	s := newStage(t, 1, 4, false)
+	cases := []struct {
+		name, say, why string
+		then           func(net.Conn)
+	}{
+		{"endless line", hello + "HELD-ALL\n" + strings.Repeat("x", 100000), "too-long", nil},
+		{"endless header", node.Opening + "\r\n" + strings.Repeat("X-A: "+strings.Repeat("y", 900)+"\r\n", 300), "", nil},
+		{"another node", strings.ReplaceAll(hello, "ID", "999"), "", nil},
+		{"wrong number", hello + "HELD-ALL\nSTARTED zz 0 1\n", "bad-ticket", nil},
+		{"unknown try", hello + "HELD-ALL\nSTARTED ff 0 1\n", "unknown-try", nil},
+		{"answer before all is told", hello + "STARTED ff 0 1\n", "HELD", nil},
+		{"report never asked for", hello + "HELD-ALL\nREPORTED 9999999 1 2\n", "never-sent", nil},
+		{"half closed", hello + "HELD-ALL\n", "EOF", func(c net.Conn) { _ = c.(*net.TCPConn).CloseWrite() }},
+		{"silent", "", "", nil},
+		{"farewell at once", hello + "BYE enough\n", "farewell", nil},
+	}
+	var heard []func() string
+	for i, c := range cases {
+		addr, h := badNode(t, uint32(100+i), c.say, c.then)
+		heard = append(heard, h)
+		s.list.AddGhost(uint32(100+i), addr, "east", "east", "plain")
+	}
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 10 { // and ten that refuse connections
+		s.list.AddGhost(uint32(200+i), closed.Addr().String(), "west", "west", "plain")
+	}
+	closed.Close()
+	s.start(0, *s.place, plant{})
+	s.load(2500, 40, "0012")
+	breaks, served := s.breaks()
+	if len(breaks) > 0 || served < 30 {
+		t.Errorf("%d served, breaks %v", served, breaks)
+	}
+	for i, c := range cases {
+		if got := heard[i](); !strings.Contains(got, c.why) {
+			t.Errorf("%s: heard %q, want %q", c.name, got, c.why)
+		}
+	}
+}
+
+// TestManyConnections opens 1,500 connections at once.
+func TestManyConnections(t *testing.T) {
+	const many = 1500
+	s := newStage(t, 1, many, false)
+	s.start(0, *s.place, plant{})
+	for range 1200 {
+		linked := 0
+		s.w.At(func(float64) {
+			for _, n := range s.nodes {
+				linked += n.Connections()
+			}
+		})
+		if linked == many {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Error("not all connected after 24 s")
+}
+
+// TestTwoSchedulers shares cold nodes between two schedulers.
+func TestTwoSchedulers(t *testing.T) {
+	s := newStage(t, 2, 4, true)
+	s.start(0, *s.place, plant{})
+	s.start(1, *s.place, plant{})
+	s.load(2500, 80, "0012")
+	if breaks, served := s.breaks(); len(breaks) > 0 || served < 40 {
+		t.Errorf("%d served, breaks %v", served, breaks)
+	}
+}
+
+func TestSlowReader(t *testing.T) {
+	place := &site.Place{NodeQueue: 100}
+	l := &link{s: &server{who: Scheduler{Place: place}}, conn: &net.TCPConn{}, wake: make(chan struct{}, 1)}
+	for i := range uint64(40) {
+		l.add(func(b []byte) []byte { return node.AppendProbe(b, i) })
+	}
+	if !l.shut || !strings.HasPrefix(l.why, "slow reader") {
+		t.Errorf("not cut: %t %q", l.shut, l.why)
+	}
+}
+
+// TestLinkQueue guards against a queue that fills the memory that is being written: each line arrives once, whole.
+func TestLinkQueue(t *testing.T) {
+	here, there := net.Pipe()
+	l := &link{s: &server{who: Scheduler{Place: &site.Place{NodeQueue: 1 << 20}}}, conn: here,
+		wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go l.write()
+	const lines = 3000
+	go func() {
+		for i := range uint64(lines) {
+			l.add(func(b []byte) []byte { return node.AppendProbe(b, i) })
+			if i%3 == 0 {
+				time.Sleep(10 * time.Microsecond)
+			}
+		}
+	}()
+	in := bufio.NewReader(there)
+	for i := range lines {
+		got, err := in.ReadString('\n')
+		if err != nil || got != fmt.Sprintf("PROBE %d\n", i) {
+			t.Fatalf("line %d: %q, %v", i, got, err)
+		}
+	}
+	go func() { _, _ = in.ReadString('\n') }()
+	l.end("test")
+	<-l.done
+}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -232,6 +232,7 @@
 			state := 0
 			if runs {
 				state = 1
+				n.rec(audit.Confirmed, p.sched, ticket, try, "")
 			}
 			p.queue = node.AppendHeld(p.queue, ticket, try, state, job, tenant, service, token, cores, memory)
 		})
@@ -377,18 +378,22 @@
 func (p *peer) Bye(why string) error { return fmt.Errorf("farewell: %s", why) }
 
 // say speaks to a scheduler, if it is connected and the answer is not to be lost.
-func (n *Node) say(sched string, mayLose bool, b func([]byte) []byte) {
+func (n *Node) say(sched string, mayLose bool, b func([]byte) []byte) bool {
 	if mayLose && n.Machine.Mute > 0 && n.Machine.rng.Float64() < n.Machine.Mute {
-		return
+		return false
 	}
-	if p := n.conns[sched]; p != nil {
+	p := n.conns[sched]
+	if p != nil {
 		p.add(b)
 	}
+	return p != nil
 }
 
 // Started and the others make the node its machine's voice.
 func (n *Node) Started(sched string, ticket uint64, try uint8, took float64) {
-	n.say(sched, true, func(b []byte) []byte { return node.AppendStarted(b, ticket, try, took) })
+	if n.say(sched, true, func(b []byte) []byte { return node.AppendStarted(b, ticket, try, took) }) {
+		n.rec(audit.Confirmed, sched, ticket, try, "")
+	}
 }
 
 // Settled tells an outcome; a lost one is not counted as told.
@@ -411,7 +416,9 @@
 
 // Claimed answers a claim. One that proves that a try never ran concludes it.
 func (n *Node) Claimed(sched string, ticket uint64, try uint8, claim, reason int) {
-	if claim >= node.ClaimedOutcome {
+	if claim == node.ClaimedRuns {
+		n.rec(audit.Confirmed, sched, ticket, try, "")
+	} else if claim >= node.ClaimedOutcome {
 		n.rec(audit.Concluded, sched, ticket, try, node.Claims[claim])
 	}
 	n.say(sched, false, func(b []byte) []byte { return node.AppendClaimed(b, ticket, try, claim, reason) })
@@ -427,3 +434,6 @@
 	n.hangUp("fell over")
 	n.door.Close()
 }
+
+// Connections is the number of schedulers that are connected. Under the world's lock.
+func (n *Node) Connections() int { return len(n.conns) }
