--- a/cmd/ravenpond/main.go
+++ b/cmd/ravenpond/main.go
@@ -9,13 +9,17 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"runtime"
+	"runtime/pprof"
 	"strings"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/google/renameio/v2"
 	"github.com/rs/zerolog"
 
 	"ravenpond/internal/lab/drill"
+	"ravenpond/internal/lab/load"
 	"ravenpond/internal/serve"
 	"ravenpond/internal/site"
 )
@@ -29,6 +33,9 @@
 		Example exampleCommand `cmd:"" help:"Print a site file to start from."`
 	} `cmd:"" help:"Site files."`
 	Drill drillCommand `cmd:"" help:"Play a scripted bad day on loopback and audit the rules."`
+	Lab   struct {
+		Load loadCommand `cmd:"" help:"Load a scheduler on loopback and print its latency and CPU time."`
+	} `cmd:"" help:"Measurements and experiments."`
 }
 
 func main() {
@@ -53,6 +60,7 @@
 	Owners      string `help:"Listen for owners here instead of where the site file says."`
 	AddressFile string `type:"path" help:"Write the owners' address to this file once they may connect."`
 	Log         string `enum:"json,plain" default:"json" help:"Form of the log: json or plain."`
+	Profile     string `type:"path" help:"Write a CPU profile of the whole run to this file."`
 	Level       string `enum:"debug,info,warn" default:"info" help:"debug adds a line for each try."`
 }
 
@@ -86,6 +94,17 @@
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
+	if c.Profile != "" {
+		f, err := os.Create(c.Profile)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if err := pprof.StartCPUProfile(f); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
 	var failed error
 	who := serve.Scheduler{Place: place, Name: c.Name, Index: c.Index, Folder: c.State, Seed: seed,
 		Log: log.With().Str("scheduler", c.Name).Logger(), Ready: func(owners net.Addr) {
@@ -181,6 +200,44 @@
 	return nil
 }
 
+type loadCommand struct {
+	Rates    []float64     `default:"500,1000,2000,4000" help:"Asks a second, a trial for each."`
+	Nodes    int           `default:"130" help:"Stand-in nodes."`
+	Owners   int           `default:"4" help:"Connections that ask."`
+	Services int           `default:"50" help:"Services that the asks belong to."`
+	Warm     time.Duration `default:"2s" help:"Load before the measurement begins."`
+	Last     time.Duration `default:"6s" help:"Length of the measurement."`
+	Life     time.Duration `default:"300ms" help:"Mean time that an allocation runs."`
+	Profile  string        `type:"path" help:"Write a CPU profile of the scheduler process to this file."`
+	Mute     bool          `help:"Nodes never answer, so that allocations stay open until their expiry."`
+	Out      string        `type:"path" help:"Folder for logs; without it a new one in the temporary folder."`
+}
+
+func (c *loadCommand) Run(ctx context.Context) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	if c.Out == "" {
+		if c.Out, err = os.MkdirTemp("", "ravenpond-load-"); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("%d cores, %d nodes, %d owners; load and stand-ins share the machine; times in ms\n", runtime.NumCPU(),
+		c.Nodes, c.Owners)
+	load.Head(os.Stdout)
+	for _, rate := range c.Rates {
+		f, err := load.Run(ctx, load.Trial{Command: []string{self}, Site: load.Site, Nodes: c.Nodes, Owners: c.Owners,
+			Rate: rate, Warm: c.Warm, Last: c.Last, Services: c.Services, Life: float64(c.Life) / 1e6, Mute: c.Mute,
+			Out: c.Out, Profile: c.Profile})
+		if err != nil {
+			return err
+		}
+		load.Row(os.Stdout, rate, f)
+	}
+	return nil
+}
+
 func textOr(path, text string) (string, string, error) {
 	if path == "" {
 		return text, "the day in the program", nil
--- /dev/null
+++ b/internal/engine/bench_test.go
@@ -0,0 +1,120 @@
+package engine
+
+import (
+	"runtime"
+	"testing"
+
+	"ravenpond/logic"
+)
+
+// silent drops effects but keeps the last offer.
+type silent struct {
+	script
+}
+
+func (s *silent) Offer(nd uint32, ticket uint64, try uint8, _ uint32, _ float64, _, _ int, _, _ uint64, _, _ float64) {
+	s.last.nd, s.last.ticket, s.last.try = nd, ticket, try
+}
+func (s *silent) Answer(uint32, uint64, Answer, uint32, string, float64) {}
+func (s *silent) Over(uint32, uint64, logic.Verdict, logic.Reason)       {}
+func (s *silent) Mode(string)                                            {}
+func (s *silent) Dial(uint32, string)                                    {}
+
+const benchNodes = 130
+
+func benchCluster() *logic.Cluster {
+	return &logic.Cluster{Schedulers: 1, AskEvery: 1e9, Step: 1, MaxTries: 4, MayRecall: true, MayProbe: true,
+		KindCores: []float64{64}, KindMemory: []float64{128}, CoresLimit: 4, MemoryLimit: 4, ListsFree: true,
+		Report: []string{"x0", "x1"}, ReportsCome: true, ColdBears: 1000, ColdFor: 1, FallWindow: 1, MeanCores: 1,
+		MeanMemory: 2, JobTypes: []logic.JobType{{Target: 1000, Value: 1, Kind: -1}}}
+}
+
+// BenchmarkEngine is the whole life of an allocation through the engine, one a round of 1 ms.
+func BenchmarkEngine(b *testing.B) {
+	s := &silent{}
+	e := New(s, 1, Terms{Cluster: benchCluster(), Shares: []float64{1}, Open: 1000, Margin: 100, Settle: 3000, Life: 1, Seed: 1})
+	e.ListBegin(1, logic.ListCached)
+	for i := range uint32(benchNodes) {
+		e.ListNode(i+1, "a", logic.Ready, 0, 64, 128, int(i%2), int(i%2), 0)
+	}
+	e.ListEnd()
+	for i := range uint32(benchNodes) {
+		e.Linked(1, i+1, 1)
+		e.HeldAll(1, i+1)
+	}
+	report := []float64{64, 128}
+	now := 100.0
+	b.ReportAllocs()
+	for i := uint64(1); b.Loop(); i++ {
+		now++
+		if err := e.Allocate(now, 1, i, 0, 0, i%50, i, 0.5, 1, 5000); err != nil {
+			b.Fatal(err)
+		}
+		e.Round(now)
+		if e.Started(now, s.last.nd, s.last.ticket, s.last.try, 1) != nil ||
+			e.Settled(now, s.last.nd, s.last.ticket, s.last.try, logic.Ended, logic.NotTold, report) != nil {
+			b.Fatal("lost")
+		}
+	}
+}
+
+// bare is a host that only keeps the last offer.
+type bare struct{ nd, alloc uint32 }
+
+func (h *bare) Offer(alloc, nd uint32, _ float64) { h.alloc, h.nd = alloc, nd }
+func (h *bare) Decline(uint32, float64)           {}
+func (h *bare) Fail(uint32)                       {}
+func (h *bare) Recall(uint32, uint8)              {}
+func (h *bare) Move(uint32)                       {}
+func (h *bare) Probe(uint32)                      {}
+func (h *bare) Follow(bool)                       {}
+func (h *bare) Reload()                           {}
+func (h *bare) Wake(float64, uint64)              {}
+func (h *bare) Log(string)                        {}
+
+// BenchmarkModule is the same calls on the module alone, with the timers that the engine would ring.
+func BenchmarkModule(b *testing.B) {
+	h := &bare{}
+	s := logic.New(h, 1, 1, benchCluster())
+	s.ListBegin(1, logic.ListCached)
+	for i := range uint32(benchNodes) {
+		s.ListNode(1, i+1, logic.Ready, 0, 64, 128, int(i%2), int(i%2), 0)
+	}
+	s.ListEnd(1)
+	report := []float64{64, 128}
+	now := 100.0
+	b.ReportAllocs()
+	for i := uint32(1); b.Loop(); i++ {
+		now++
+		if i%100 == 0 {
+			s.Woken(now, 0)
+		}
+		s.Allocate(now, i, 0, 0, now+4900, uint64(i%50), 0.5, 1)
+		s.Decide(now)
+		s.Started(now, i, 0, 1)
+		s.Settled(now, i, h.nd, 0, 1, true, logic.NotTold, logic.Ended, report)
+	}
+}
+
+// BenchmarkOpen measures what an open allocation holds in memory, engine and module together, at 100,000.
+func BenchmarkOpen(b *testing.B) {
+	const many = 100000
+	for b.Loop() {
+		s := &silent{}
+		e := New(s, 1, Terms{Cluster: benchCluster(), Shares: []float64{1}, Open: many, Margin: 100, Settle: 3000, Life: 1, Seed: 1})
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := uint64(1); i <= many; i++ {
+			if err := e.Allocate(2, 1, i, 0, 0, i%50, i, 0.5, 1, 60000); err != nil {
+				b.Fatal(err)
+			}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		if e.door.Open() != many {
+			b.Fatal("not all open")
+		}
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/many, "B/open")
+	}
+}
--- /dev/null
+++ b/internal/lab/load/load.go
@@ -0,0 +1,244 @@
+// Package load measures a scheduler process under an open load: stand-in nodes and owners in this process, the
+// scheduler beside it, all on loopback. It tells how long an owner's request takes until the offer stands on a
+// node's socket, and what CPU time the scheduler process spends for it.
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ravenpond/internal/audit"
+	"ravenpond/internal/serve"
+	"ravenpond/internal/site"
+	"ravenpond/internal/standin"
+)
+
+// Site is the site that is loaded, without the list's address.
+const Site = `<site name="load">
+  <cluster schedulers="1" list="told" step="1ms" cores-limit="4" memory-limit="4" mean-cores="1" mean-memory="2"/>
+  <rules drain-grace="2s" cold-bears="1000" cold-for="100ms" cold-window="50ms" answer-margin="200ms"/>
+  <zone name="one"/><zone name="two"/>
+  <machine kind="plain" cores="64" memory="128"/>
+  <job-type name="work" effect="restartable" target="1s" expiry="5s" value="1"/>
+  <tenant name="t" share="1"/>
+  <limits open="200000" owner-queue="200000"/>
+  <node-list address="127.0.0.1:0"/>
+  <owners listen="127.0.0.1:0"/>
+</site>`
+
+// Trial is one load.
+type Trial struct {
+	Command  []string // that runs the scheduler
+	Site     string
+	Nodes    int
+	Owners   int     // connections that ask
+	Rate     float64 // asks a second, all together
+	Warm     time.Duration
+	Last     time.Duration
+	Services int
+	Life     float64 // mean ms that one runs
+	Mute     bool    // nodes never answer, so that allocations stay open
+	Out      string
+	Profile  string
+}
+
+// Figures are what came of a trial. Times are ms.
+type Figures struct {
+	Asked, Served, Other int
+	CPU                  time.Duration // of the scheduler process while it was loaded
+	PerAlloc             time.Duration
+	Peak                 int64 // resident memory in KiB
+	Offer                *hdrhistogram.Histogram
+	Start                *hdrhistogram.Histogram
+}
+
+// Run plays a trial.
+func Run(ctx context.Context, tr Trial) (*Figures, error) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	place, faults := site.Read(strings.NewReader(tr.Site))
+	if len(faults) > 0 {
+		return nil, fmt.Errorf("site of the load: %s", faults[0])
+	}
+	w := standin.NewWorld()
+	defer w.Wait()
+	defer stop()
+	nodes, err := fleet(ctx, w, place, tr)
+	if err != nil {
+		return nil, err
+	}
+	list, err := w.StartList(ctx, 0, nodes)
+	if err != nil {
+		return nil, err
+	}
+	cmd, addr, err := scheduler(ctx, tr, list.Address())
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = cmd.Process.Kill() }()
+	for i := 0; ; i++ {
+		linked := 0
+		w.At(func(float64) {
+			for _, n := range nodes {
+				linked += n.Connections()
+			}
+		})
+		if linked >= len(nodes) {
+			break
+		}
+		if i > 500 {
+			return nil, fmt.Errorf("only %d of %d nodes connected", linked, len(nodes))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	var asking []*standin.Owner
+	for i := range tr.Owners {
+		o := &standin.Owner{ID: i, Sched: "s0", Find: func() string { return addr }, Settle: 3000}
+		asking = append(asking, o)
+		w.StartOwner(ctx, o, uint64(i))
+	}
+	time.Sleep(300 * time.Millisecond)
+	n := 0
+	ask := func(last time.Duration) {
+		begin := time.Now()
+		for first := n; ; n++ {
+			at := begin.Add(time.Duration(float64(n-first) / tr.Rate * 1e9))
+			if at.Sub(begin) > last {
+				return
+			}
+			time.Sleep(time.Until(at))
+			key, service := fmt.Sprint("k", n), fmt.Sprint("s", n%tr.Services)
+			asking[n%tr.Owners].Ask(&standin.Want{Key: key, Tenant: "t", JobType: "work", Service: service,
+				Token: serve.Token("t", key), ServiceKey: serve.Service("t", service), Cores: 0.5, Memory: 1,
+				Within: 5000, Target: 1000, Until: w.Now() + 50}) // soon unwanted: nothing is asked twice
+		}
+	}
+	ask(tr.Warm)
+	from, used := w.Now(), cpu(cmd.Process.Pid)
+	before := n
+	ask(tr.Last)
+	to, asked := w.Now(), n-before
+	spent := cpu(cmd.Process.Pid) - used
+	f := &Figures{Asked: asked, CPU: spent, PerAlloc: spent / time.Duration(max(1, asked)), Peak: peak(cmd.Process.Pid),
+		Offer: hdrhistogram.New(1, 1e7, 3), Start: hdrhistogram.New(1, 1e7, 3)}
+	time.Sleep(700 * time.Millisecond)
+	f.read(w.Trace.Records(), from, to)
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	limit := time.AfterFunc(10*time.Second, func() { _ = cmd.Process.Kill() })
+	defer limit.Stop()
+	if err := cmd.Wait(); err != nil {
+		return nil, fmt.Errorf("scheduler ended with %w, see its log in %s", err, tr.Out)
+	}
+	return f, nil
+}
+
+func fleet(ctx context.Context, w *standin.World, place *site.Place, tr Trial) ([]*standin.Node, error) {
+	mk := standin.Make{Cores: 64, Memory: 128, CoresLimit: 4, MemoryLimit: 4, Look: 0.02, Line: 4000, Starts: 64,
+		NoProgram: 1, Programs: 4, ColdFrom: 1, ColdFor: 1, Fall: 1e12, FallFor: 1, Bears: 1 << 30,
+		Work: []standin.Work{{Start: 0.5, Life: tr.Life, Use: 0.5}}}
+	group := standin.NewGroup()
+	var nodes []*standin.Node
+	for i := range tr.Nodes {
+		zone := place.Zones[i%len(place.Zones)]
+		n := &standin.Node{ID: uint32(i + 1), Zone: zone, Cell: zone, Kind: "plain", Jobs: 1, Tenants: 1}
+		if err := w.StartNode(ctx, n, mk, group, uint64(i), false); err != nil {
+			return nil, err
+		}
+		if tr.Mute {
+			n.Machine.Mute = 1
+		}
+		nodes = append(nodes, n)
+	}
+	return nodes, nil
+}
+
+// scheduler starts the scheduler process and waits until owners may connect.
+func scheduler(ctx context.Context, tr Trial, list string) (*exec.Cmd, string, error) {
+	path := filepath.Join(tr.Out, "site.xml")
+	text := strings.Replace(tr.Site, `<node-list address="127.0.0.1:0"/>`, fmt.Sprintf("<node-list address=%q/>", list), 1)
+	if err := os.WriteFile(path, []byte(text), 0o640); err != nil {
+		return nil, "", err
+	}
+	log, err := os.Create(filepath.Join(tr.Out, "s0.log"))
+	if err != nil {
+		return nil, "", err
+	}
+	defer log.Close()
+	file := filepath.Join(tr.Out, "s0.address")
+	_ = os.Remove(file)
+	state, err := os.MkdirTemp(tr.Out, "state-")
+	if err != nil {
+		return nil, "", err
+	}
+	args := append(append([]string{}, tr.Command[1:]...), "serve", "--site", path, "--state", state, "--seed", "7",
+		"--address-file", file)
+	if tr.Profile != "" {
+		args = append(args, "--profile", tr.Profile)
+	}
+	cmd := exec.Command(tr.Command[0], args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, "", err
+	}
+	for range 500 {
+		if b, err := os.ReadFile(file); err == nil && len(b) > 0 {
+			return cmd, strings.TrimSpace(string(b)), nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	_ = cmd.Process.Kill()
+	return nil, "", fmt.Errorf("scheduler did not begin, see its log in %s", tr.Out)
+}
+
+// read takes the times of asks made between two times from the trace.
+func (f *Figures) read(records []audit.Record, from, to float64) {
+	asked := map[uint64]float64{}
+	ref := map[[2]uint64]float64{}
+	for _, r := range records {
+		switch r.Kind {
+		case audit.Asked:
+			if r.At >= from && r.At < to {
+				asked[r.Token] = r.At
+				ref[[2]uint64{uint64(r.Owner), r.Ref}] = r.At
+			}
+		case audit.Offered:
+			if at, ok := asked[r.Token]; ok && r.Try == 0 {
+				_ = f.Offer.RecordValue(int64((r.At - at) * 1000)) // beyond 10 s is not told apart
+			}
+		case audit.Answered:
+			at, ok := ref[[2]uint64{uint64(r.Owner), r.Ref}]
+			if !ok {
+				continue
+			}
+			if r.Word == "served" {
+				f.Served++
+				_ = f.Start.RecordValue(int64((r.At - at) * 1000))
+			} else {
+				f.Other++
+			}
+		}
+	}
+}
+
+// Head and Row write a table of figures.
+func Head(out io.Writer) {
+	fmt.Fprintf(out, "%10s %8s %8s %8s %10s %9s %9s %9s %9s %8s\n", "asked a s", "asked", "served", "other",
+		"cpu us", "offer p50", "p99", "p99.9", "start p99", "MiB")
+}
+
+// Row writes one line: times in ms, CPU in microseconds an allocation.
+func Row(out io.Writer, rate float64, f *Figures) {
+	q := func(h *hdrhistogram.Histogram, p float64) float64 { return float64(h.ValueAtQuantile(p)) / 1000 }
+	fmt.Fprintf(out, "%10.0f %8d %8d %8d %10.1f %9.2f %9.2f %9.2f %9.2f %8.1f\n", rate, f.Asked, f.Served, f.Other,
+		float64(f.PerAlloc)/1e3, q(f.Offer, 50), q(f.Offer, 99), q(f.Offer, 99.9), q(f.Start, 99), float64(f.Peak)/1024)
+}
--- /dev/null
+++ b/internal/lab/load/proc.go
@@ -0,0 +1,42 @@
+package load
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+)
+
+// tick is the kernel's unit of CPU time in /proc, the same on all its common builds.
+const tick = 10 * time.Millisecond
+
+// cpu is the CPU time that a process has used, 0 if it can't be told.
+func cpu(pid int) time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	_, text, ok := bytes.Cut(text, []byte(") "))
+	fields := bytes.Fields(text)
+	if !ok || len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseInt(string(fields[11]), 10, 64)
+	system, _ := strconv.ParseInt(string(fields[12]), 10, 64)
+	return time.Duration(user+system) * tick
+}
+
+// peak is the most resident memory that a process ever had, in KiB.
+func peak(pid int) int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	_, text, ok := bytes.Cut(text, []byte("VmHWM:"))
+	if fields := bytes.Fields(text); ok && len(fields) > 0 {
+		kib, _ := strconv.ParseInt(string(fields[0]), 10, 64)
+		return kib
+	}
+	return 0
+}
