--- a/cmd/ravenpond/main.go
+++ b/cmd/ravenpond/main.go
@@ -142,6 +142,9 @@
 	Site    string `type:"existingfile" help:"Site file with 127.0.0.1:0 for both addresses; without it the one in the program."`
 	Seed    uint64 `default:"1" help:"Seed of the day's chance."`
 	Out     string `type:"path" help:"Folder for logs and the trace; without it a new one in the temporary folder."`
+	Shards  int    `default:"1" help:"Shards of each scheduler process."`
+	Share   string `enum:"own,shared,informed" default:"shared" help:"What they share: own, shared or informed connections."`
+	Place   string `enum:"service,tenant,in-turn" default:"service" help:"How allocations are placed on them."`
 	Quiet   bool   `help:"Print the table alone."`
 	ShowDay bool   `help:"Print the day in the program, and play nothing."`
 }
@@ -159,6 +162,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Shards > 1 {
+		text = withShards(text, c.Shards, c.Share, c.Place)
+	}
 	place, faults := site.Read(strings.NewReader(text))
 	if len(faults) > 0 {
 		return fmt.Errorf("site: %s", faults[0])
@@ -238,6 +244,12 @@
 	return nil
 }
 
+// withShards puts shards into the text of a site file that has none.
+func withShards(text string, count int, share, place string) string {
+	return strings.Replace(text, "<node-list", fmt.Sprintf("<shards count=\"%d\" connections=%q place=%q/>\n  <node-list",
+		count, share, place), 1)
+}
+
 func textOr(path, text string) (string, string, error) {
 	if path == "" {
 		return text, "the day in the program", nil
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"sync"
 )
 
@@ -237,7 +238,8 @@
 }
 
 func (c *checker) record(r *Record) {
-	s := c.sched(r.Sched)
+	base, _, _ := strings.Cut(r.Sched, ".") // shards of one scheduler may have connections of their own
+	s := c.sched(base)
 	switch r.Kind {
 	case Born:
 		s.births++
--- a/internal/decide/admit/admit.go
+++ b/internal/decide/admit/admit.go
@@ -68,3 +68,34 @@
 	d.open--
 	d.by[tenant]--
 }
+
+// Gate shuts a shard's door while what comes in waits too long before it is looked at. A single hiccup does not
+// shut it: the wait must stay long for a while.
+type Gate struct {
+	longSince float64 // 0: not long
+	shut      bool
+}
+
+const (
+	longWait = 12 // ms that the oldest event may have waited
+	longFor  = 40 // and for how long
+	wellWait = 4  // below which the gate opens again
+)
+
+// Enter tells whether an allocation may come in, at a time and with the wait of the oldest event, in ms.
+func (g *Gate) Enter(now, waited float64) bool {
+	switch {
+	case waited <= wellWait:
+		g.longSince, g.shut = 0, false
+	case waited <= longWait:
+		g.longSince = 0
+	case g.longSince == 0:
+		g.longSince = now
+	case now-g.longSince > longFor:
+		g.shut = true
+	}
+	return !g.shut
+}
+
+// Shut tells whether the gate is.
+func (g *Gate) Shut() bool { return g.shut }
--- a/internal/decide/admit/admit_test.go
+++ b/internal/decide/admit/admit_test.go
@@ -29,3 +29,40 @@
 		t.Errorf("after one left: %s, %d open", why, d.Open())
 	}
 }
+
+func TestGate(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		wait  func(now float64) float64
+		most  int // times it may turn from open to shut in a second
+		least int // asks of a thousand that must come in
+		top   int // and may
+	}{
+		{"well", func(float64) float64 { return 2 }, 0, 1000, 1000},
+		{"a hiccup", func(now float64) float64 {
+			if now > 500 && now < 530 {
+				return now - 500
+			}
+			return 1
+		}, 0, 1000, 1000},
+		{"overload without end", func(now float64) float64 { return now }, 1, 40, 70},
+		{"around the threshold", func(now float64) float64 { return 8 + 6*float64(int(now)%2) }, 0, 1000, 1000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var g Gate
+			in, turns := 0, 0
+			for now := 1.0; now <= 1000; now++ {
+				was := g.Shut()
+				if g.Enter(now, c.wait(now)) {
+					in++
+				}
+				if g.Shut() && !was {
+					turns++
+				}
+			}
+			if turns > c.most || in < c.least || in > c.top {
+				t.Errorf("%d came in, shut %d times", in, turns)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/decide/ledger/ledger.go
@@ -0,0 +1,229 @@
+// Package ledger decides who may act for an allocation. Each open or running allocation has one owner among the
+// shards and an epoch that is raised at every handover; a try needs the ledger's leave, which only the owner's
+// present epoch gets. What a shard has sent and not proven harmless is held here too, so that another can go on
+// where a shard stopped, or end what must not be tried again.
+//
+// It is a table without goroutines; whoever shares it among cores holds it by one lock for each call.
+package ledger
+
+import (
+	"cmp"
+	"slices"
+
+	"ravenpond/internal/decide/doubt"
+	"ravenpond/logic"
+)
+
+// Name is an allocation's, the same whoever asks for it.
+type Name struct {
+	Tenant int
+	Token  uint64
+}
+
+// Ask is what is wanted, as its owner asked.
+type Ask struct {
+	Owner         uint32
+	Ref           uint64
+	Job           int
+	Service       uint64
+	Cores, Memory float64
+	Expiry        float64 // the owner's
+}
+
+// Try is a placement try as the ledger knows it.
+type Try struct {
+	Node   uint32
+	Ticket uint64
+	No     uint8
+}
+
+// Entry is an allocation that a shard acts for.
+type Entry struct {
+	Ask
+	Shard    int
+	Epoch    uint32
+	Out      bool // a try was sent and its outcome is not known
+	MayHave  bool // an earlier one may have run
+	Answered bool
+	Last     Try
+}
+
+// State says what is known of an allocation when it is asked for.
+type State uint8
+
+const (
+	New     State = iota // nobody acts for it
+	Known                // a shard does
+	Barring              // a shard that was fenced may have started it: its outcome is waited for
+)
+
+// Ledger is the table.
+type Ledger struct {
+	jobs    []logic.JobType
+	all     map[Name]*Entry
+	barred  map[Name]float64 // those that were fenced with a try out, until its time is over
+	spare   []*Entry
+	Epoch   uint32 // of what is taken now; raised by every fence, never lower than in an earlier life
+	Trusted bool   // for tests: gives leave to any epoch, which must be found
+}
+
+// Table makes a ledger for job types, with a first epoch.
+func Table(jobs []logic.JobType, epoch uint32) *Ledger {
+	return &Ledger{jobs: jobs, all: map[Name]*Entry{}, barred: map[Name]float64{}, Epoch: epoch}
+}
+
+// Len is the number of entries.
+func (l *Ledger) Len() int { return len(l.all) }
+
+// Look tells the owner of an allocation.
+func (l *Ledger) Look(now float64, n Name) (shard int, s State) {
+	if en := l.all[n]; en != nil {
+		return en.Shard, Known
+	}
+	if now < l.barred[n] {
+		return 0, Barring
+	}
+	return 0, New
+}
+
+// Take gives an allocation that nobody acts for to a shard, and returns the epoch that its tries must name.
+func (l *Ledger) Take(n Name, shard int, ask Ask) uint32 {
+	delete(l.barred, n)
+	var en *Entry
+	if k := len(l.spare); k > 0 {
+		en, l.spare = l.spare[k-1], l.spare[:k-1]
+	} else {
+		en = new(Entry)
+	}
+	*en = Entry{Ask: ask, Shard: shard, Epoch: l.Epoch}
+	l.all[n] = en
+	return l.Epoch
+}
+
+// Send asks leave for a try. Without it the try must not leave: the shard no longer acts for the allocation.
+func (l *Ledger) Send(n Name, shard int, epoch uint32, try Try) bool {
+	en := l.all[n]
+	if l.Trusted {
+		if en != nil {
+			en.Out, en.Last = true, try
+		}
+		return true
+	}
+	if en == nil || en.Shard != shard || en.Epoch != epoch || en.Out || en.Answered {
+		return false
+	}
+	if j := &l.jobs[en.Job]; en.MayHave && j.Effect == logic.RunOnce {
+		return false // whoever asks, a second try is never right
+	}
+	en.Out, en.Last = true, try
+	return true
+}
+
+// Settle notes a try's outcome; never tells that it is proven not to have run.
+func (l *Ledger) Settle(n Name, shard int, epoch uint32, never bool) {
+	if en := l.all[n]; en != nil && en.Shard == shard && en.Epoch == epoch {
+		en.Out = false
+		en.MayHave = en.MayHave || !never
+	}
+}
+
+// Answer notes that the final answer leaves; false if it must not, since another acts or it was given.
+func (l *Ledger) Answer(n Name, shard int, epoch uint32) bool {
+	en := l.all[n]
+	if en == nil || en.Shard != shard || en.Epoch != epoch || en.Answered {
+		return false
+	}
+	en.Answered = true
+	return true
+}
+
+// Found gives what a node runs to a shard; false if another acts for it already.
+func (l *Ledger) Found(n Name, shard int, ask Ask) (epoch uint32, ok bool) {
+	if en := l.all[n]; en != nil {
+		if en.Shard != shard {
+			return 0, false
+		}
+		en.Answered, en.Out = true, false
+		return en.Epoch, true
+	}
+	epoch = l.Take(n, shard, ask)
+	l.all[n].Answered = true
+	return epoch, true
+}
+
+// Drop ends an entry; false if another acts for the allocation.
+func (l *Ledger) Drop(n Name, shard int, epoch uint32) bool {
+	en := l.all[n]
+	if en == nil || en.Shard != shard || en.Epoch != epoch {
+		return false
+	}
+	delete(l.all, n)
+	l.spare = append(l.spare, en)
+	return true
+}
+
+// Fate is what becomes of an allocation whose shard is no more.
+type Fate uint8
+
+const (
+	Moves     Fate = iota // another shard goes on with it, under the next epoch
+	Declines              // no try is out, or a repeat does no harm: the owner may ask again
+	Fails                 // it may have run: nothing is promised
+	Continues             // it runs; it will be found at its node
+)
+
+// Orphan is an entry of a fenced shard and its fate.
+type Orphan struct {
+	Name  Name
+	Entry Entry
+	Fate  Fate
+}
+
+// Fence ends all that a shard acts for. From now on it gets no leave for anything; its entries are returned in
+// order of their names. What moves has the next epoch and stays out of the ledger until it is taken again.
+//
+// A try that is out when its shard is fenced can't be waited for: the one who would hear of it is gone. A
+// restartable allocation is declined, its owner asks again at once; one that must not take effect twice is
+// barred until its try's time is over, unless its group drops the repeat.
+func (l *Ledger) Fence(now float64, shard int, leastLeft float64) []Orphan {
+	var all []Orphan
+	for n, en := range l.all {
+		if en.Shard == shard {
+			all = append(all, Orphan{n, *en, l.fate(now, en, leastLeft)})
+		}
+	}
+	slices.SortFunc(all, func(x, y Orphan) int {
+		return cmp.Or(cmp.Compare(x.Name.Tenant, y.Name.Tenant), cmp.Compare(x.Name.Token, y.Name.Token))
+	})
+	for _, o := range all {
+		l.spare = append(l.spare, l.all[o.Name])
+		delete(l.all, o.Name)
+		if o.Entry.Out && l.jobs[o.Entry.Job].Effect != logic.Restartable {
+			l.barred[o.Name] = max(now, o.Entry.Expiry)
+		}
+	}
+	l.Epoch++
+	return all
+}
+
+func (l *Ledger) fate(now float64, en *Entry, leastLeft float64) Fate {
+	j := &l.jobs[en.Job]
+	switch {
+	case en.Answered:
+		return Continues
+	case !en.Out && !en.MayHave && en.Expiry-now > leastLeft:
+		return Moves
+	case doubt.Withdrawn(j.Effect, j.Group, en.Out, en.MayHave):
+		return Declines
+	}
+	return Fails
+}
+
+// Forget drops what is barred no longer.
+func (l *Ledger) Forget(now float64) {
+	for n, until := range l.barred {
+		if now > until {
+			delete(l.barred, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/ledger/ledger_test.go
@@ -0,0 +1,151 @@
+package ledger
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"ravenpond/logic"
+)
+
+var jobs = []logic.JobType{{Effect: logic.Restartable}, {Effect: logic.Tokened, Group: logic.GroupZone},
+	{Effect: logic.Tokened, Group: logic.GroupAll}, {Effect: logic.RunOnce}}
+
+func TestFate(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(l *Ledger, n Name)
+		want [4]Fate // by job type
+	}{
+		{"no try yet", func(*Ledger, Name) {}, [4]Fate{Moves, Moves, Moves, Moves}},
+		{"a try out", func(l *Ledger, n Name) { l.Send(n, 1, 1, Try{}) }, [4]Fate{Declines, Fails, Fails, Fails}},
+		{"an earlier one provably never ran", func(l *Ledger, n Name) {
+			l.Send(n, 1, 1, Try{})
+			l.Settle(n, 1, 1, true)
+		}, [4]Fate{Moves, Moves, Moves, Moves}},
+		{"an earlier one may have run", func(l *Ledger, n Name) {
+			l.Send(n, 1, 1, Try{})
+			l.Settle(n, 1, 1, false)
+		}, [4]Fate{Declines, Fails, Declines, Fails}},
+		{"it runs", func(l *Ledger, n Name) {
+			l.Send(n, 1, 1, Try{})
+			l.Answer(n, 1, 1)
+		}, [4]Fate{Continues, Continues, Continues, Continues}},
+	} {
+		for job, want := range c.want {
+			l, n := Table(jobs, 1), Name{0, 7}
+			l.Take(n, 1, Ask{Job: job, Expiry: 5000})
+			c.do(l, n)
+			all := l.Fence(1000, 1, 300)
+			if len(all) != 1 || all[0].Fate != want {
+				t.Errorf("%s, job type %d: %+v, want fate %d", c.name, job, all, want)
+			}
+			if l.Send(n, 1, 1, Try{}) || l.Answer(n, 1, 1) {
+				t.Errorf("%s: the fenced shard got leave", c.name)
+			}
+		}
+	}
+	t.Run("too late to move", func(t *testing.T) {
+		l, n := Table(jobs, 1), Name{0, 7}
+		l.Take(n, 1, Ask{Job: 3, Expiry: 1200})
+		if all := l.Fence(1000, 1, 300); all[0].Fate != Declines {
+			t.Errorf("%+v", all)
+		}
+	})
+}
+
+func TestBarring(t *testing.T) {
+	for job, want := range []State{New, Barring, Barring, Barring} {
+		l, n := Table(jobs, 1), Name{0, 7}
+		l.Take(n, 1, Ask{Job: job, Expiry: 5000})
+		l.Send(n, 1, 1, Try{})
+		l.Fence(1000, 1, 300)
+		if _, s := l.Look(2000, n); s != want {
+			t.Errorf("job type %d: %d, want %d", job, s, want)
+		}
+		if _, s := l.Look(6000, n); s != New {
+			t.Errorf("job type %d: still %d after its time", job, s)
+		}
+		if epoch := l.Take(n, 2, Ask{Job: job}); epoch != 2 {
+			t.Errorf("epoch %d after a fence", epoch)
+		}
+	}
+}
+
+// TestOneOwner draws calls by three shards that believe whatever they were last told: no two tries of one
+// allocation may have leave at once, and no answer may leave twice. The ledger that trusts any epoch must be found.
+func TestOneOwner(t *testing.T) {
+	found := false
+	for _, trusts := range []bool{false, true} {
+		rapid.Check(t, func(t *rapid.T) {
+			l, n, job := Table(jobs, 1), Name{0, 1}, rapid.IntRange(0, 3).Draw(t, "job")
+			l.Trusted = trusts
+			type view struct {
+				epoch uint32
+				out   bool
+			}
+			var views [3]view
+			answers, ran, now := 0, false, 0.0
+			for range rapid.IntRange(1, 40).Draw(t, "steps") {
+				now += 10
+				at := rapid.IntRange(0, 2).Draw(t, "shard")
+				v := &views[at]
+				switch rapid.IntRange(0, 5).Draw(t, "call") {
+				case 0:
+					if _, s := l.Look(now, n); s == New {
+						*v = view{epoch: l.Take(n, at, Ask{Job: job, Expiry: 1e6})}
+						answers, ran = 0, false
+					}
+				case 1:
+					if l.Send(n, at, v.epoch, Try{}) {
+						for other := range views {
+							if views[other].out {
+								found = true
+								if !trusts {
+									t.Fatal("two tries out")
+								}
+							}
+						}
+						if ran && job == 3 {
+							found = true
+							if !trusts {
+								t.Fatal("run-once tried again")
+							}
+						}
+						v.out = true
+					}
+				case 2, 3:
+					if v.out {
+						never := rapid.Bool().Draw(t, "never")
+						v.out = false
+						ran = ran || !never
+						l.Settle(n, at, v.epoch, never)
+					}
+				case 4:
+					if l.Answer(n, at, v.epoch) {
+						if answers++; answers > 1 {
+							t.Fatal("answered twice")
+						}
+					}
+				case 5: // fenced: its tries are over for the owner, who hears of them by the node's epoch check
+					for _, o := range l.Fence(now, at, 0) {
+						if o.Fate == Moves && views[at].out {
+							found = true
+							if !trusts {
+								t.Fatal("moved with a try out")
+							}
+						}
+						now = max(now, o.Entry.Expiry+1)
+						ran = false
+					}
+					for i := range views {
+						views[i].out = false
+					}
+				}
+			}
+		})
+	}
+	if !found {
+		t.Error("the ledger that trusts any epoch was not found")
+	}
+}
--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -47,7 +47,7 @@
 	b.ReportAllocs()
 	for i := uint64(1); b.Loop(); i++ {
 		now++
-		if err := e.Allocate(now, 1, i, 0, 0, i%50, i, 0.5, 1, 5000); err != nil {
+		if err := e.Allocate(now, 1, i, 0, 0, i%50, i, 0.5, 1, 5000, 1); err != nil {
 			b.Fatal(err)
 		}
 		e.Round(now)
@@ -106,7 +106,7 @@
 		runtime.GC()
 		runtime.ReadMemStats(&before)
 		for i := uint64(1); i <= many; i++ {
-			if err := e.Allocate(2, 1, i, 0, 0, i%50, i, 0.5, 1, 60000); err != nil {
+			if err := e.Allocate(2, 1, i, 0, 0, i%50, i, 0.5, 1, 60000, 1); err != nil {
 				b.Fatal(err)
 			}
 		}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -48,6 +48,18 @@
 	Follow(active bool)
 	Reload()
 
+	// Leave asks whether a try may be sent: not if another acts for the allocation by now.
+	Leave(tenant int, token uint64, epoch uint32, nd uint32, ticket uint64, try uint8) bool
+	// Known tells a try's outcome, and whether it proves that it never ran.
+	Known(tenant int, token uint64, epoch uint32, never bool)
+	// Adopt asks whether what a node runs is to be kept, under which epoch, and who was told that it is served.
+	Adopt(tenant int, token uint64, jobType int, service uint64, cores, memory float64) (epoch, owner uint32,
+		ref uint64, ok bool)
+	// Dropped ends an allocation.
+	Dropped(tenant int, token uint64, service uint64, epoch uint32)
+
+	// Final asks whether the final answer may be given, and notes it: not if another acts for the allocation.
+	Final(tenant int, token uint64, epoch uint32) bool
 	// Answer gives an owner the final answer to its ask, Over the end of one that was served.
 	Answer(owner uint32, ref uint64, answer Answer, nd uint32, why string, holdOff float64)
 	Over(owner uint32, ref uint64, verdict logic.Verdict, why logic.Reason)
@@ -77,8 +89,7 @@
 )
 
 const (
-	nobody     = 0 // the owner of what nobody waits for
-	firstEpoch = 1 // of an allocation that no other engine ever held
+	nobody = 0 // the owner of what nobody waits for
 )
 
 type alloc struct {
@@ -96,6 +107,7 @@
 	owner          uint32
 	ref            uint64
 	ticket         uint64 // of the try that is out or runs
+	epoch          uint32
 	service, token uint64
 	cores, memory  float64
 	expiry         float64 // the owner's
@@ -349,6 +361,7 @@
 		delete(e.byToken, name)
 	}
 	delete(e.adopted, tryName{a.ticket, a.try})
+	e.edge.Dropped(a.tenant, a.token, a.service, a.epoch)
 	e.free = append(e.free, p)
 	a.phase = waits
 }
@@ -392,9 +405,9 @@
 	e.pull(p)
 	nd, id, try, took := e.nodes[a.nd].id, a.id, a.moduleTry(), e.now-a.sentAt
 	a.phase, a.doubtAt = waits, 0
-	if verdict != logic.Refused && verdict != logic.Unreached && verdict != logic.Unsent {
-		a.mayHave = true
-	}
+	never := verdict == logic.Refused || verdict == logic.Unreached || verdict == logic.Unsent
+	a.mayHave = a.mayHave || !never
+	e.edge.Known(a.tenant, a.token, a.epoch, never)
 	over := ran || a.answered
 	if ran && a.owner != nobody {
 		e.edge.Over(a.owner, a.ref, verdict, why)
@@ -475,6 +488,10 @@
 		e.disown(a)
 		return
 	}
+	if !e.edge.Final(a.tenant, a.token, a.epoch) {
+		e.disown(a)
+		return
+	}
 	switch answer {
 	case Served:
 		e.stats.Served++
@@ -489,10 +506,10 @@
 	}
 }
 
-// Allocate takes an ask: left is the time that its owner still waits, counted from now. An error means that it
+// Allocate takes an ask under an epoch of the one who says which engine acts for it: left is the time that its owner still waits, counted from now. An error means that it
 // was not understood as a new one, and no answer follows.
 func (e *Engine) Allocate(now float64, owner uint32, ref uint64, jobType, tenant int, service, token uint64,
-	cores, memory, left float64) error {
+	cores, memory, left float64, epoch uint32) error {
 	e.now, e.news = now, true
 	if _, ok := e.asks[ask{owner, ref}]; ok {
 		return fmt.Errorf("ask %d is not over", ref)
@@ -502,15 +519,23 @@
 		e.again(p, owner, ref)
 		return nil
 	}
+	if epoch == 0 { // meant for one that was here a moment ago
+		e.stats.Refused++
+		e.edge.Answer(owner, ref, Declined, 0, "just-ended", 0)
+		return nil
+	}
 	least := e.terms.Margin + 4*e.terms.Cluster.Step
 	if why := e.door.Enter(tenant, left, least, e.fits(jobType, cores, memory)); why != admit.Taken {
 		e.stats.Refused++
-		e.edge.Answer(owner, ref, Declined, 0, why.String(), 0)
+		if e.edge.Final(tenant, token, epoch) {
+			e.edge.Answer(owner, ref, Declined, 0, why.String(), 0)
+		}
+		e.edge.Dropped(tenant, token, service, epoch)
 		return nil
 	}
 	e.stats.Taken++
 	p, a := e.take()
-	a.job, a.tenant, a.service, a.token = jobType, tenant, service, token
+	a.job, a.tenant, a.service, a.token, a.epoch = jobType, tenant, service, token, epoch
 	e.own(p, owner, ref)
 	a.cores, a.memory, a.expiry = cores, memory, now+left
 	e.byToken[name] = p
@@ -735,8 +760,9 @@
 			e.recall(a)
 		}
 	case doubt.Keep:
-		q := e.adopt(name, g)
-		e.keep(&e.allocs[q])
+		if q := e.adopt(name, g); q >= 0 {
+			e.keep(&e.allocs[q])
+		}
 	}
 }
 
@@ -753,6 +779,9 @@
 	e.disown(a)
 	e.drop(p)
 	q := e.adopt(name, g)
+	if q < 0 {
+		return
+	}
 	e.own(q, owner, ref)
 	if owner == nobody {
 		e.keep(&e.allocs[q])
@@ -765,8 +794,9 @@
 		if doubt.Late(e.effects[g.job], false, false) == doubt.Stop {
 			e.stopLate(name)
 		} else {
-			q := e.adopt(name, g)
-			e.keep(&e.allocs[q])
+			if q := e.adopt(name, g); q >= 0 {
+				e.keep(&e.allocs[q])
+			}
 		}
 	}
 }
@@ -782,9 +812,17 @@
 }
 
 // adopt makes a running allocation of what a node runs and tells the module.
+//
+// It returns -1 and stops it if another acts for it by now.
 func (e *Engine) adopt(name tryName, g ghost) int {
+	epoch, owner, ref, ok := e.edge.Adopt(g.tenant, g.token, g.job, g.service, g.cores, g.memory)
+	if !ok {
+		e.stopLate(name)
+		return -1
+	}
 	e.forget(name)
 	p, a := e.take()
+	a.epoch = epoch
 	a.phase, a.answered, a.found = runs, true, true
 	a.job, a.tenant, a.service, a.token, a.cores, a.memory = g.job, g.tenant, g.service, g.token, g.cores, g.memory
 	a.ticket, a.try, a.sentAt = name.ticket, name.try, e.now
@@ -792,6 +830,7 @@
 	e.adopted[name] = p
 	e.byToken[named{a.tenant, a.token}] = p
 	a.seen = true
+	e.own(p, owner, ref)
 	e.stats.Found++
 	e.sched.Found(e.now, a.id, a.job, a.tenant, a.service, a.cores, a.memory, e.nodes[g.nd].id)
 	return p
@@ -833,6 +872,12 @@
 	return nil
 }
 
+// Hint is a load report that another engine heard from a node.
+func (e *Engine) Hint(now float64, nd uint32, report []float64) {
+	e.now = now
+	e.sched.Settled(now, 0, nd, 0, 0, true, logic.NotTold, logic.Ended, report) // no allocation has the number 0
+}
+
 // moduleTry is the number by which the module knows the try: what was found is its first.
 func (a *alloc) moduleTry() uint8 {
 	if a.found {
@@ -868,8 +913,13 @@
 
 func (e *Engine) send(a *alloc, n *node) {
 	a.phase = out
+	if !e.edge.Leave(a.tenant, a.token, a.epoch, n.id, a.ticket, a.try) {
+		a.phase = held // never sent, and no other try will be either
+		e.soon = append(e.soon, settlement{a.id, a.try, logic.Unsent})
+		return
+	}
 	e.bells.set(a.dueAt, dueTry, tryKey(a.id, a.try))
-	e.edge.Offer(n.id, a.ticket, a.try, firstEpoch, a.dueAt-e.now, a.job, a.tenant, a.service, a.token, a.cores, a.memory)
+	e.edge.Offer(n.id, a.ticket, a.try, a.epoch, a.dueAt-e.now, a.job, a.tenant, a.service, a.token, a.cores, a.memory)
 }
 
 func (h host) Decline(id uint32, holdOff float64) { h.e.final(id, Declined, holdOff) }
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -52,6 +52,14 @@
 	s.say("over %d %d", ref, verdict)
 }
 
+func (s *script) Leave(int, uint64, uint32, uint32, uint64, uint8) bool { return true }
+func (s *script) Known(int, uint64, uint32, bool)                       {}
+func (s *script) Dropped(int, uint64, uint64, uint32)                   {}
+func (s *script) Final(int, uint64, uint32) bool                        { return true }
+func (s *script) Adopt(int, uint64, int, uint64, float64, float64) (uint32, uint32, uint64, bool) {
+	return 1, nobody, 0, true
+}
+
 const (
 	restartable = iota
 	zoned       // tokened, group zone
@@ -101,7 +109,7 @@
 
 // ask asks and gives the module a round.
 func (s *script) ask(ref uint64, job int, within float64) {
-	if err := s.e.Allocate(s.now, 7, ref, job, 0, 99, 1000+ref, 1, 2, within); err != nil {
+	if err := s.e.Allocate(s.now, 7, ref, job, 0, 99, 1000+ref, 1, 2, within, 1); err != nil {
 		s.t.Fatal(err)
 	}
 	s.pass(10)
@@ -209,7 +217,7 @@
 				t.Fatal(err)
 			}
 			if c.want == "answer 2 served" {
-				if err := s.e.Allocate(s.now, 7, 2, c.job, 0, 99, 1001, 1, 2, 5000); err != nil {
+				if err := s.e.Allocate(s.now, 7, 2, c.job, 0, 99, 1001, 1, 2, 5000, 1); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -273,7 +281,7 @@
 	t.Run("over the limit", func(t *testing.T) {
 		s := begin(t, true)
 		for ref := range uint64(140) {
-			_ = s.e.Allocate(s.now, 7, ref+1, restartable, int(ref%2), 99, 1000+ref, 1, 2, 5000)
+			_ = s.e.Allocate(s.now, 7, ref+1, restartable, int(ref%2), 99, 1000+ref, 1, 2, 5000, 1)
 		}
 		if got := strings.Count(s.look(), "declined"); got != 40 {
 			t.Errorf("%d declined at once, want 40", got)
@@ -281,18 +289,18 @@
 	})
 	t.Run("too large for any machine", func(t *testing.T) {
 		s := begin(t, false)
-		_ = s.e.Allocate(s.now, 7, 1, restartable, 0, 99, 1, 33, 2, 5000)
+		_ = s.e.Allocate(s.now, 7, 1, restartable, 0, 99, 1, 33, 2, 5000, 1)
 		s.want("answer", s.look(), "answer 1 declined")
 	})
 	t.Run("the same key twice", func(t *testing.T) {
 		s := begin(t, false)
 		s.ask(1, once, 5000)
 		s.look()
-		_ = s.e.Allocate(s.now, 8, 9, once, 0, 99, 1001, 1, 2, 5000)
+		_ = s.e.Allocate(s.now, 8, 9, once, 0, 99, 1001, 1, 2, 5000, 1)
 		s.want("while open", s.look(), "answer 9 declined")
 		_ = s.e.Started(s.now, s.last.nd, s.last.ticket, 0, 10)
 		s.want("its start", s.look(), "answer 1 served")
-		_ = s.e.Allocate(s.now, 8, 10, once, 0, 99, 1001, 1, 2, 5000)
+		_ = s.e.Allocate(s.now, 8, 10, once, 0, 99, 1001, 1, 2, 5000, 1)
 		s.want("while it runs", s.look(), "answer 10 served")
 	})
 }
@@ -340,7 +348,7 @@
 			_ = s.e.Started(s.now, s.last.nd, s.last.ticket, 0, 1)
 			return s.settled(logic.Refused)
 		}},
-		{"report never asked for", func(s *script) error { return s.e.Reported(s.now, 1, 99, nil) }},
+		{"report never asked for", func(s *script) error { return s.e.Reported(s.now, 1, 1<<40, nil) }},
 		{"held, of an unknown job type", func(s *script) error {
 			return s.e.Held(s.now, 1, 5, 0, true, 17, 0, 1, 1, 1, 1)
 		}},
@@ -365,7 +373,7 @@
 	}
 	s.e.HeldAll(s.now, 2)
 	s.want("what waits is recalled", s.look(), "recall 78.1")
-	_ = s.e.Allocate(s.now, 7, 1, once, 0, 99, 1001, 1, 2, 5000)
+	_ = s.e.Allocate(s.now, 7, 1, once, 0, 99, 1001, 1, 2, 5000, 1)
 	s.want("what runs is found", s.look(), "answer 1 served")
 	if err := s.e.Settled(s.now, 2, 77, 1, logic.Ended, logic.NotTold, nil); err != nil {
 		t.Fatal(err)
--- a/internal/engine/nodes.go
+++ b/internal/engine/nodes.go
@@ -27,7 +27,7 @@
 		}
 		nd = len(e.nodes)
 		e.nodeAt[id] = nd
-		e.nodes = append(e.nodes, node{id: id})
+		e.nodes = append(e.nodes, node{id: id, probeSeq: uint64(e.terms.Life) << 24}) // above any earlier life's
 	}
 	n := &e.nodes[nd]
 	n.page = e.page
--- a/internal/proto/node/node.go
+++ b/internal/proto/node/node.go
@@ -70,6 +70,7 @@
 	Claim(ticket uint64, try uint8) error
 	Probe(seq uint64) error
 	Ping() error
+	Tell() error
 	Bye(why string) error
 }
 
@@ -131,6 +132,9 @@
 	return append(line.Int(append(b, "PROBE"...), seq), '\n')
 }
 
+// AppendTell asks the node to tell again all that it holds.
+func AppendTell(b []byte) []byte { return append(b, "TELL\n"...) }
+
 // AppendPing asks for a sign of life, AppendPong gives it.
 func AppendPing(b []byte) []byte { return append(b, "PING\n"...) }
 
@@ -246,6 +250,8 @@
 		return to.Probe(seq)
 	case "PING":
 		return to.Ping()
+	case "TELL":
+		return to.Tell()
 	case "BYE":
 		return to.Bye(f.Text())
 	default:
--- a/internal/proto/node/node_test.go
+++ b/internal/proto/node/node_test.go
@@ -29,6 +29,7 @@
 func (h *heard) Claim(t uint64, n uint8) error  { return h.put("claim %x %d", t, n) }
 func (h *heard) Probe(seq uint64) error         { return h.put("probe %d", seq) }
 func (h *heard) Ping() error                    { return h.put("ping") }
+func (h *heard) Tell() error                    { return h.put("tell") }
 func (h *heard) Pong() error                    { return h.put("pong") }
 func (h *heard) HeldAll() error                 { return h.put("held-all") }
 func (h *heard) Bye(why string) error           { return h.put("bye %s", why) }
--- /dev/null
+++ b/internal/serve/inbox.go
@@ -0,0 +1,87 @@
+package serve
+
+import "sync"
+
+// event is something that a shard's engine is told; it runs on the shard's goroutine.
+type event func(now float64)
+
+// maxInbox bounds what waits for a shard. One that lets so much lie is as good as stopped.
+const maxInbox = 1 << 17
+
+// inbox hands events to a shard from many goroutines. Both sides swap two slices under a lock, which measured
+// faster here than a channel or a list with a lock (BenchmarkInbox).
+type inbox struct {
+	mu     sync.Mutex
+	queue  []event
+	since  float64 // when the oldest that waits came
+	busy   float64 // and the oldest of those that are being worked on, 0: none
+	closed bool
+	wake   chan struct{}
+}
+
+func newInbox() *inbox { return &inbox{wake: make(chan struct{}, 1)} }
+
+// put queues an event; false if the shard takes none any more. full tells that it should be given up.
+func (b *inbox) put(now float64, ev event) (ok, full bool) {
+	b.mu.Lock()
+	if b.closed {
+		b.mu.Unlock()
+		return false, false
+	}
+	if len(b.queue) >= maxInbox {
+		b.mu.Unlock()
+		return false, true
+	}
+	if len(b.queue) == 0 {
+		b.since = now
+	}
+	b.queue = append(b.queue, ev)
+	b.mu.Unlock()
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+	return true, false
+}
+
+// take gives all that waits, in order; spare is a slice that may be filled next.
+func (b *inbox) take(spare []event) []event {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := b.queue
+	b.queue = spare[:0]
+	if b.busy = 0; len(all) > 0 {
+		b.busy = b.since
+	}
+	return all
+}
+
+// done says that what was taken is worked off.
+func (b *inbox) done() {
+	b.mu.Lock()
+	b.busy = 0
+	b.mu.Unlock()
+}
+
+// waited is how long the oldest event has waited, those being worked on included.
+func (b *inbox) waited(now float64) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case b.busy > 0:
+		return now - b.busy
+	case len(b.queue) > 0:
+		return now - b.since
+	}
+	return 0
+}
+
+func (b *inbox) close() {
+	b.mu.Lock()
+	b.closed, b.queue = true, nil
+	b.mu.Unlock()
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
--- a/internal/serve/list.go
+++ b/internal/serve/list.go
@@ -31,8 +31,8 @@
 	listAnswer = 3 * time.Second // a call unanswered for so long has failed
 )
 
-// call queues a call; under the server's lock. Where the queue is full an earlier call is still under way and
-// this one has failed, as far as the module is concerned.
+// call queues a call. Where the queue is full an earlier call is still under way and this one has failed, as far as
+// the module is concerned.
 func (s *server) call(c call) {
 	select {
 	case s.calls <- c:
@@ -41,25 +41,30 @@
 	}
 }
 
-func (s *server) listFailed() {
-	_ = s.tell(func(now float64) error {
-		s.eng.ListBegin(now, logic.ListFailed)
-		s.eng.ListEnd()
-		return nil
-	})
+func (s *server) listFailed() { s.toAll(logic.ListFailed, nil) }
+
+// toAll tells news of the list to every shard: whichever asked, all may know.
+func (s *server) toAll(kind logic.ListKind, entries []listEntry) {
+	s.desk.Lock()
+	shards := slices.Clone(s.shards)
+	s.desk.Unlock()
+	for _, sh := range shards {
+		sh.hearList(kind, entries)
+	}
 }
 
-// lastList tells the engine what was kept of the list, even if that is nothing.
-func (s *server) lastList() {
+// lastListTo tells a new shard what is known of the list, even if that is nothing.
+func (s *server) lastListTo(sh *shard) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.news(s.clock.now(), logic.ListCached, s.list.Entries())
+	entries := s.indexed(s.list.Entries())
+	s.mu.Unlock()
+	sh.hearList(logic.ListCached, entries)
 }
 
-// news tells the engine entries. Those whose zone or kind the site file lacks are left out: nothing can be
-// decided about them.
-func (s *server) news(now float64, kind logic.ListKind, entries []state.Entry) {
-	s.eng.ListBegin(now, kind)
+// indexed gives entries their places as small indices; under the lock. Those whose zone or kind the site file lacks
+// are left out: nothing can be decided about them.
+func (s *server) indexed(entries []state.Entry) []listEntry {
+	all := make([]listEntry, 0, len(entries))
 	skipped := 0
 	for _, en := range entries {
 		if s.who.plant.news != nil {
@@ -75,13 +80,12 @@
 			cell = len(s.cells)
 			s.cells[en.Cell] = cell
 		}
-		s.eng.ListNode(en.ID, en.Address, logic.Availability(en.Avail), en.StartedAt, en.FreeCores, en.FreeMemory,
-			max(0, zone), cell, max(0, kind))
+		all = append(all, listEntry{en, max(0, zone), cell, max(0, kind)})
 	}
-	s.eng.ListEnd()
 	if skipped > 0 {
 		s.log.Warn().Str("mode", "list").Int("skipped", skipped).Msg("entries of unknown zone or kind left out")
 	}
+	return all
 }
 
 // listLoop carries out calls, one connection at a time. Where the list tells unasked, it keeps a watch of its own.
@@ -255,21 +259,23 @@
 	if err := h.conn.SetReadDeadline(time.Time{}); err != nil {
 		return err
 	}
-	return h.s.tell(func(now float64) error {
-		if err := h.s.list.Begin(h.kind, h.version); err != nil {
-			return err
-		}
-		for _, en := range h.entries {
-			h.s.list.Put(en)
-		}
-		h.s.list.End()
-		kind := logic.ListFull
-		if h.kind == list.Changes {
-			kind = logic.ListChanges
-		}
-		h.s.news(now, kind, h.entries)
-		return nil
-	})
+	h.s.mu.Lock()
+	if err := h.s.list.Begin(h.kind, h.version); err != nil {
+		h.s.mu.Unlock()
+		return err
+	}
+	for _, en := range h.entries {
+		h.s.list.Put(en)
+	}
+	h.s.list.End()
+	entries := h.s.indexed(h.entries)
+	h.s.mu.Unlock()
+	kind := logic.ListFull
+	if h.kind == list.Changes {
+		kind = logic.ListChanges
+	}
+	h.s.toAll(kind, entries)
+	return nil
 }
 
 func (h *hearing) Failed(why string) error {
--- a/internal/serve/owners.go
+++ b/internal/serve/owners.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/creachadair/jrpc2"
 
+	"ravenpond/internal/decide/ledger"
 	"ravenpond/internal/engine"
 	"ravenpond/internal/proto/owners"
 	"ravenpond/logic"
@@ -29,6 +30,9 @@
 	news chan []byte // bodies of notifications
 	gone chan struct{}
 	once sync.Once
+
+	mu   sync.Mutex
+	asks map[uint64]int // by ref: the shard of what is open or runs
 }
 
 // Words of the protocol for an allocation's end.
@@ -53,7 +57,8 @@
 		s.mu.Lock()
 		full := len(s.owners) >= s.who.Place.Owners
 		s.ownerIDs++
-		o := &owner{s: s, id: s.ownerIDs, news: make(chan []byte, s.who.Place.OwnerQueue), gone: make(chan struct{})}
+		o := &owner{s: s, id: s.ownerIDs, news: make(chan []byte, s.who.Place.OwnerQueue), gone: make(chan struct{}),
+			asks: map[uint64]int{}}
 		if !full {
 			s.owners[o.id] = o
 		}
@@ -97,11 +102,40 @@
 	})
 	err := o.srv.Wait()
 	o.cut(fmt.Sprint(err))
-	_ = s.tell(func(now float64) error {
-		delete(s.owners, o.id)
-		s.eng.OwnerGone(now, o.id)
-		return nil
-	})
+	s.mu.Lock()
+	delete(s.owners, o.id)
+	s.mu.Unlock()
+	s.desk.Lock()
+	shards := slices.Clone(s.shards)
+	s.desk.Unlock()
+	for _, sh := range shards {
+		sh.tell(func(now float64) { sh.eng.OwnerGone(now, o.id) })
+	}
+}
+
+// note keeps which shard an ask is at; begin does so for a new one, and false tells that its ref is not free.
+func (o *owner) note(ref uint64, shard int) {
+	o.mu.Lock()
+	if _, ok := o.asks[ref]; ok {
+		o.asks[ref] = shard
+	}
+	o.mu.Unlock()
+}
+
+func (o *owner) begin(ref uint64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.asks[ref]; ok {
+		return false
+	}
+	o.asks[ref] = -1
+	return true
+}
+
+func (o *owner) end(ref uint64) {
+	o.mu.Lock()
+	delete(o.asks, ref)
+	o.mu.Unlock()
 }
 
 // cut ends the connection.
@@ -123,6 +157,9 @@
 }
 
 func (o *owner) answer(ref uint64, answer engine.Answer, nd uint32, why string, holdOff float64) {
+	if answer != engine.Served {
+		o.end(ref)
+	}
 	b := strconv.AppendUint(append(make([]byte, 0, 64), `{"ref":`...), ref, 10)
 	b = append(append(append(b, `,"answer":"`...), answer.String()...), '"')
 	if answer == engine.Served {
@@ -138,6 +175,7 @@
 }
 
 func (o *owner) over(ref uint64, verdict logic.Verdict, why logic.Reason) {
+	o.end(ref)
 	b := strconv.AppendUint(append(make([]byte, 0, 64), "o{\"ref\":"...), ref, 10)
 	b = append(append(append(b, `,"how":"`...), ends[verdict]...), '"')
 	if int(why) < len(reasons) && why > 0 {
@@ -247,16 +285,59 @@
 	if late := float64(time.Now().UnixMilli()) - ask.SentAt; ask.SentAt > 0 && late > 0 {
 		ask.Within -= late
 	}
-	err := o.s.tell(func(now float64) error {
-		return o.s.eng.Allocate(now, o.id, ask.Ref, job, tenant, Service(ask.Tenant, ask.Service),
-			Token(ask.Tenant, ask.Key), ask.Cores, ask.Memory, ask.Within)
-	})
-	if err != nil {
-		return nil, jrpc2.Errorf(jrpc2.InvalidParams, "%v", err)
+	if !o.begin(ask.Ref) {
+		return nil, jrpc2.Errorf(jrpc2.InvalidParams, "ref: %d is not over", ask.Ref)
 	}
+	name := ledger.Name{Tenant: tenant, Token: Token(ask.Tenant, ask.Key)}
+	a := ledger.Ask{Owner: o.id, Ref: ask.Ref, Job: job, Service: Service(ask.Tenant, ask.Service), Cores: ask.Cores,
+		Memory: ask.Memory}
+	o.s.allocate(o, name, a, ask.Within)
 	return true, nil
 }
 
+// allocate finds the shard for an ask: the one that acts for its key already, else the one that the table gives.
+func (s *server) allocate(o *owner, name ledger.Name, a ledger.Ask, left float64) {
+	now := s.clock.now()
+	a.Expiry = now + left
+	pinned := s.who.Place.Cluster.JobTypes[a.Job].Spread != logic.Anywhere
+	why, epoch := "", uint32(0)
+	s.desk.Lock()
+	at, known := s.ledger.Look(now, name)
+	switch {
+	case known == ledger.Barring:
+		why = "earlier-try-out"
+	case known == ledger.Known:
+	case now < s.resting[a.Service]:
+		why = "shard-fenced"
+	default:
+		if at = s.table.Find(a.Service, name.Tenant, pinned); at < 0 {
+			why = "no-shard"
+		} else if sh := s.shards[at]; !sh.gate.Enter(now, sh.inbox.waited(now)) {
+			why = "behind"
+		} else {
+			s.table.Join(at, a.Service)
+			epoch = s.ledger.Take(name, at, a)
+		}
+	}
+	var sh *shard
+	if why == "" {
+		sh = s.shards[at]
+		o.note(a.Ref, at)
+	}
+	s.desk.Unlock()
+	if why != "" {
+		o.answer(a.Ref, engine.Declined, 0, why, 0)
+		return
+	}
+	sh.tell(func(now float64) {
+		err := sh.eng.Allocate(now, a.Owner, a.Ref, a.Job, name.Tenant, a.Service, name.Token, a.Cores, a.Memory,
+			a.Expiry-now, epoch)
+		if err != nil && !sh.fenced.Load() { // the door lets no ref in twice: it was moved here by a fence
+			o.answer(a.Ref, engine.Declined, 0, "open-already", 0)
+		}
+	})
+}
+
 func (o *owner) withdraw(_ context.Context, req *jrpc2.Request) (any, error) {
 	var ask struct {
 		Ref uint64 `json:"ref"`
@@ -264,8 +345,15 @@
 	if err := fields(req, &ask); err != nil {
 		return nil, err
 	}
-	if err := o.s.tell(func(now float64) error { return o.s.eng.Withdraw(now, o.id, ask.Ref) }); err != nil {
-		return nil, jrpc2.Errorf(jrpc2.InvalidParams, "%v", err)
+	o.mu.Lock()
+	at, ok := o.asks[ask.Ref]
+	o.mu.Unlock()
+	if !ok || at < 0 {
+		return nil, jrpc2.Errorf(jrpc2.InvalidParams, "ref: no ask %d", ask.Ref)
 	}
+	o.s.desk.Lock()
+	sh := o.s.shards[at]
+	o.s.desk.Unlock()
+	sh.tell(func(now float64) { _ = sh.eng.Withdraw(now, o.id, ask.Ref) }) // one that has just ended needs nothing
 	return true, nil
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -7,15 +7,18 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"ravenpond/internal/decide/ledger"
+	"ravenpond/internal/decide/shares"
+	"ravenpond/internal/decide/watch"
 	"ravenpond/internal/engine"
 	"ravenpond/internal/site"
 	"ravenpond/internal/state"
-	"ravenpond/logic"
 )
 
 // Scheduler says which scheduler is to be run, and where.
@@ -57,25 +60,31 @@
 
 func (c clock) now() float64 { return c.base + float64(time.Since(c.start))/1e6 }
 
-// server is one running scheduler.
+// server is one running scheduler process.
 type server struct {
 	who    Scheduler
 	log    zerolog.Logger
 	clock  clock
-	life   uint32
 	folder *state.Folder
 	work   sync.WaitGroup
-	kick   chan struct{} // there is news for the engine
-	calls  chan call     // to the node list
+	calls  chan call // to the node list
+	ctx    context.Context
+	trunks []*trunk
 
-	mu       sync.Mutex // holds the engine and what its effects touch
-	eng      *engine.Engine
-	links    map[uint32]*link
+	desk    sync.Mutex // who acts for what; held for a few look-ups at a time
+	ledger  *ledger.Ledger
+	table   *shares.Table
+	dog     *watch.Dog
+	shards  []*shard // the present life of each
+	lives   map[uint32]*shard
+	lost    map[ledger.Name]ledger.Ask // what ran at a fenced shard and is to be found again
+	resting map[uint64]float64         // services that wait for that, until a time
+
+	mu       sync.Mutex
 	owners   map[uint32]*owner
 	ownerIDs uint32
 	list     *state.List
 	cells    map[string]int
-	ctx      context.Context
 }
 
 // Run runs a scheduler until the context ends. All that was open is answered then.
@@ -85,10 +94,6 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, folder.Close()) }()
-	life, err := folder.NextLife()
-	if err != nil {
-		return fmt.Errorf("state: %w", err)
-	}
 	last, err := folder.LoadList()
 	if errors.Is(err, state.ErrDamaged) {
 		who.Log.Warn().Str("mode", "list").Err(err).Msg("last list not read, beginning with none")
@@ -106,36 +111,51 @@
 		return fmt.Errorf("owners' door: %w", err)
 	}
 	defer door.Close()
-	s := &server{who: who, log: who.Log, clock: newClock(), life: life, folder: folder, list: last,
-		kick: make(chan struct{}, 1), calls: make(chan call, 8), links: map[uint32]*link{},
-		owners: map[uint32]*owner{}, cells: map[string]int{}}
+	place := who.Place
+	s := &server{who: who, log: who.Log, clock: newClock(), folder: folder, list: last, calls: make(chan call, 8),
+		owners: map[uint32]*owner{}, cells: map[string]int{}, lives: map[uint32]*shard{},
+		lost: map[ledger.Name]ledger.Ask{}, resting: map[uint64]float64{}}
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx)) // ends after the last answers
 	defer stop()
 	s.ctx = inner
-	cl := who.Place.Cluster
-	cl.Index = who.Index
-	var out engine.Edge = edge{s}
-	if who.plant.edge != nil {
-		out = who.plant.edge(out)
+	weights := make([]float64, place.Shards)
+	for i := range weights {
+		weights[i] = 1
+	}
+	s.table = shares.New(shares.Way(place.PlaceBy), weights)
+	for i := range place.Shards {
+		sh, err := s.newShard(i)
+		if err != nil {
+			return err
+		}
+		if i == 0 || place.Connections == site.Own {
+			s.trunks = append(s.trunks, newTrunk(s, i))
+		}
+		sh.trunk = s.trunks[len(s.trunks)-1]
+		sh.trunk.set(sh)
+		s.shards = append(s.shards, sh)
+		s.lives[sh.life] = sh
+	}
+	s.ledger = ledger.Table(place.Cluster.JobTypes, s.shards[place.Shards-1].life)
+	s.dog = watch.New(s.clock.now(), place.Shards)
+	for _, sh := range s.shards {
+		s.lastListTo(sh)
+	}
+	s.log.Info().Str("mode", "serve").Uint32("life", s.ledger.Epoch).Int("nodes", len(last.Entries())).
+		Int("shards", place.Shards).Str("owners", door.Addr().String()).Msg("scheduler begins")
+	for _, sh := range slices.Clone(s.shards) {
+		s.loops(inner, sh)
 	}
-	s.eng = engine.New(out, s.clock.now(), engine.Terms{Cluster: &cl, Shares: who.Place.Shares,
-		Open: who.Place.Open, Margin: who.Place.Margin, Settle: who.Place.Settle, Life: life, Seed: who.Seed,
-		Clock: float64(Epoch.UnixMilli())})
-	s.lastList()
-	s.log.Info().Str("mode", "serve").Uint32("life", life).Int("nodes", len(last.Entries())).
-		Str("owners", door.Addr().String()).Msg("scheduler begins")
 	s.goes(func() { s.listLoop(inner) })
 	s.goes(func() { s.accept(inner, door) })
 	s.goes(func() { s.saves(inner) })
+	s.goes(func() { s.watch(inner, time.Duration(watch.LookEach()*1e6)) })
 	if who.Ready != nil {
 		who.Ready(door.Addr())
 	}
-	s.loop(ctx)
+	<-ctx.Done()
 	door.Close()
-	s.mu.Lock()
-	s.eng.Close(s.clock.now())
-	st := s.eng.Stats()
-	s.mu.Unlock()
+	st := s.closeShards()
 	s.drainOwners()
 	stop()
 	s.closeAll()
@@ -145,54 +165,51 @@
 	return s.save()
 }
 
-// goes runs a goroutine that ends with the server.
-func (s *server) goes(f func()) {
-	s.work.Add(1)
-	go func() {
-		defer s.work.Done()
-		f()
-	}()
-}
-
-// loop gives the engine its rounds: when there is news or something is due, at most once a step.
-func (s *server) loop(ctx context.Context) {
-	step := s.who.Place.Cluster.Step
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	last := 0.0
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.kick:
-		case <-timer.C:
+// closeShards has every shard answer what is open and sums up what they did.
+func (s *server) closeShards() (sum engine.Stats) {
+	s.desk.Lock()
+	shards := slices.Clone(s.shards)
+	s.desk.Unlock()
+	for _, sh := range shards {
+		got := make(chan engine.Stats, 1)
+		if !sh.tell(func(now float64) { sh.eng.Close(now); got <- sh.eng.Stats() }) {
+			continue
 		}
-		if wait := last + step - s.clock.now(); wait > 0 {
-			time.Sleep(time.Duration(wait * 1e6))
+		select {
+		case st := <-got:
+			sum.Served += st.Served
+			sum.Declined += st.Declined
+			sum.Failed += st.Failed
+			sum.Refused += st.Refused
+			sum.Offers += st.Offers
+		case <-time.After(time.Second): // it stands still: its owners hear no more from it
 		}
-		s.mu.Lock()
-		last = s.clock.now()
-		s.eng.Round(last)
-		next := s.eng.Next()
-		s.mu.Unlock()
-		timer.Reset(time.Duration(min(1000, max(0, next-last)) * 1e6))
 	}
+	return sum
 }
 
-// tell runs an event against the engine and sees to a round after it.
-func (s *server) tell(event func(now float64) error) error {
-	s.mu.Lock()
-	err := event(s.clock.now())
-	s.mu.Unlock()
-	s.rouse()
-	return err
+// loops starts a shard's loop. One that stands still for good is not waited for at the end.
+func (s *server) loops(ctx context.Context, sh *shard) {
+	go sh.loop(ctx)
+	s.goes(func() {
+		select {
+		case <-sh.ended:
+		case <-ctx.Done():
+			select {
+			case <-sh.ended:
+			case <-time.After(time.Second):
+			}
+		}
+	})
 }
 
-func (s *server) rouse() {
-	select {
-	case s.kick <- struct{}{}:
-	default:
-	}
+// goes runs a goroutine that ends with the server.
+func (s *server) goes(f func()) {
+	s.work.Add(1)
+	go func() {
+		defer s.work.Done()
+		f()
+	}()
 }
 
 func (s *server) saves(ctx context.Context) {
@@ -223,38 +240,46 @@
 	return s.folder.SaveList(text)
 }
 
-// edge carries out the engine's effects; all its methods run under the server's lock and only fill queues.
-type edge struct{ s *server }
-
-func (d edge) Dial(nd uint32, address string) { d.s.goes(func() { d.s.dial(nd, address) }) }
-
-func (d edge) Hang(nd uint32, why string) {
-	if l := d.s.links[nd]; l != nil {
-		l.end(why)
-	}
+// owner gives an owner that is still connected.
+func (s *server) owner(id uint32) *owner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owners[id]
 }
 
-func (d edge) Follow(active bool) {
-	if active {
-		d.s.call(watchCall)
-	} else {
-		d.s.call(unwatchCall)
+func (s *server) answer(id uint32, ref uint64, answer engine.Answer, nd uint32, why string, holdOff float64) {
+	s.log.Debug().Uint32("owner", id).Uint64("ref", ref).Stringer("answer", answer).Uint32("node", nd).Msg(why)
+	if o := s.owner(id); o != nil {
+		o.answer(ref, answer, nd, why, holdOff)
 	}
 }
 
-func (d edge) Reload() { d.s.call(wholeCall) }
-
-func (d edge) Mode(line string) { d.s.log.Info().Str("mode", "engine").Msg(line) }
-
-func (d edge) Answer(owner uint32, ref uint64, answer engine.Answer, nd uint32, why string, holdOff float64) {
-	d.s.log.Debug().Uint32("owner", owner).Uint64("ref", ref).Stringer("answer", answer).Uint32("node", nd).Msg(why)
-	if o := d.s.owners[owner]; o != nil {
-		o.answer(ref, answer, nd, why, holdOff)
+// ownedBy notes which shard an owner's ask is at now.
+func (s *server) ownedBy(id uint32, ref uint64, shard int) {
+	if o := s.owner(id); o != nil {
+		o.note(ref, shard)
 	}
 }
 
-func (d edge) Over(owner uint32, ref uint64, verdict logic.Verdict, why logic.Reason) {
-	if o := d.s.owners[owner]; o != nil {
-		o.over(ref, verdict, why)
+// closeAll ends all links and owners' connections.
+func (s *server) closeAll() {
+	s.desk.Lock()
+	shards := slices.Clone(s.shards)
+	s.desk.Unlock()
+	for _, sh := range shards {
+		t := sh.trunk
+		t.mu.Lock()
+		for _, l := range t.links {
+			l.mu.Lock()
+			l.soft = true
+			l.mu.Unlock()
+		}
+		t.mu.Unlock()
+		t.close("scheduler ends")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.owners {
+		o.cut("scheduler ends")
 	}
 }
--- /dev/null
+++ b/internal/serve/shard.go
@@ -0,0 +1,367 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sync/atomic"
+	"time"
+
+	"ravenpond/internal/decide/admit"
+	"ravenpond/internal/decide/ledger"
+	"ravenpond/internal/engine"
+	"ravenpond/internal/site"
+	"ravenpond/internal/state"
+	"ravenpond/logic"
+)
+
+// shard is an engine with a goroutine of its own, which alone touches it.
+type shard struct {
+	s     *server
+	index int
+	life  uint32
+	trunk *trunk
+	inbox *inbox
+	eng   *engine.Engine
+	gate  admit.Gate // under the server's desk
+
+	links  map[uint32]*link // the trunk's, as far as the engine has heard of them
+	beat   atomic.Uint64    // bits of the time of the last sign of life
+	fenced atomic.Bool
+	ended  chan struct{}
+}
+
+// newShard makes a shard in a life of its own and tells it the last list. Its loop is not started yet.
+func (s *server) newShard(index int) (*shard, error) {
+	life, err := s.folder.NextLife()
+	if err != nil {
+		return nil, fmt.Errorf("state: %w", err)
+	}
+	sh := &shard{s: s, index: index, life: life, inbox: newInbox(), links: map[uint32]*link{}, ended: make(chan struct{})}
+	place := s.who.Place
+	cl := place.Cluster
+	cl.Schedulers *= place.Shards // each module instance counts where cold nodes' budget is shared out
+	cl.Index = s.who.Index*place.Shards + index
+	now := s.clock.now()
+	sh.beat.Store(math.Float64bits(now))
+	var out engine.Edge = edge{sh}
+	if s.who.plant.edge != nil {
+		out = s.who.plant.edge(out)
+	}
+	sh.eng = engine.New(out, now, engine.Terms{Cluster: &cl, Shares: place.Shares,
+		Open: (place.Open + place.Shards - 1) / place.Shards * 2, Margin: place.Margin, Settle: place.Settle,
+		Life: life, Seed: s.who.Seed + uint64(life)*0x9e3779b97f4a7c15, Clock: float64(Epoch.UnixMilli())})
+	return sh, nil
+}
+
+// tell gives the shard an event; one that is fenced hears nothing more.
+func (sh *shard) tell(ev event) bool {
+	ok, full := sh.inbox.put(sh.s.clock.now(), ev)
+	if full { // by a goroutine of its own, as whoever tells may hold what fencing needs
+		sh.s.goes(func() { sh.s.fence(sh, fmt.Sprintf("%d events wait", maxInbox)) })
+	}
+	return ok
+}
+
+// loop gives the engine its events and rounds: when there is news or something is due, at most once a step.
+func (sh *shard) loop(ctx context.Context) {
+	defer close(sh.ended)
+	defer func() {
+		if p := recover(); p != nil {
+			sh.s.fence(sh, fmt.Sprint("panic: ", p))
+		}
+	}()
+	step := sh.s.who.Place.Cluster.Step
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	last := 0.0
+	var spare []event
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sh.inbox.wake:
+		case <-timer.C:
+		}
+		if wait := last + step - sh.s.clock.now(); wait > 0 {
+			time.Sleep(time.Duration(wait * 1e6))
+		}
+		events := sh.inbox.take(spare)
+		for i, ev := range events {
+			if sh.fenced.Load() {
+				return
+			}
+			ev(sh.s.clock.now())
+			events[i] = nil
+		}
+		if spare = events; cap(spare) > 1<<12 { // a burst's memory is given back
+			spare = nil
+		}
+		last = sh.s.clock.now()
+		sh.beat.Store(math.Float64bits(last))
+		sh.eng.Round(last)
+		sh.inbox.done()
+		timer.Reset(time.Duration(min(1000, max(0, sh.eng.Next()-last)) * 1e6))
+	}
+}
+
+// hearList tells the shard news of the node list.
+func (sh *shard) hearList(kind logic.ListKind, entries []listEntry) {
+	sh.tell(func(now float64) {
+		sh.eng.ListBegin(now, kind)
+		for i := range entries {
+			en := &entries[i]
+			sh.eng.ListNode(en.ID, en.Address, logic.Availability(en.Avail), en.StartedAt, en.FreeCores, en.FreeMemory,
+				en.zone, en.cell, en.kind)
+		}
+		sh.eng.ListEnd()
+	})
+}
+
+// listEntry is an entry with its places as small indices.
+type listEntry struct {
+	state.Entry
+	zone, cell, kind int
+}
+
+// edge carries out the engine's effects. It fills queues and asks the desk; a fenced shard's effects go nowhere.
+type edge struct{ sh *shard }
+
+func (d edge) dead() bool { return d.sh.fenced.Load() }
+
+func (d edge) Dial(nd uint32, address string) {
+	if !d.dead() {
+		d.sh.trunk.dial(nd, address)
+	}
+}
+
+func (d edge) Hang(nd uint32, why string) {
+	if l := d.sh.links[nd]; l != nil && !d.dead() {
+		l.end(why)
+	}
+}
+
+func (d edge) Follow(active bool) {
+	if active {
+		d.sh.s.call(watchCall)
+	} else {
+		d.sh.s.call(unwatchCall)
+	}
+}
+
+func (d edge) Reload() { d.sh.s.call(wholeCall) }
+
+func (d edge) Mode(line string) {
+	d.sh.s.log.Info().Str("mode", "engine").Int("shard", d.sh.index).Msg(line)
+}
+
+func (d edge) Leave(tenant int, token uint64, epoch uint32, nd uint32, ticket uint64, try uint8) bool {
+	s := d.sh.s
+	s.desk.Lock()
+	defer s.desk.Unlock()
+	return s.ledger.Send(ledger.Name{Tenant: tenant, Token: token}, d.sh.index, epoch,
+		ledger.Try{Node: nd, Ticket: ticket, No: try})
+}
+
+func (d edge) Known(tenant int, token uint64, epoch uint32, never bool) {
+	s := d.sh.s
+	s.desk.Lock()
+	s.ledger.Settle(ledger.Name{Tenant: tenant, Token: token}, d.sh.index, epoch, never)
+	s.desk.Unlock()
+}
+
+func (d edge) Adopt(tenant int, token uint64, job int, service uint64, cores, memory float64) (epoch, owner uint32,
+	ref uint64, ok bool) {
+	s, n := d.sh.s, ledger.Name{Tenant: tenant, Token: token}
+	s.desk.Lock()
+	defer s.desk.Unlock()
+	if d.dead() {
+		return 0, 0, 0, false
+	}
+	before := s.ledger.Len()
+	ask, lost := s.lost[n]
+	if epoch, ok = s.ledger.Found(n, d.sh.index, ledger.Ask{Job: job, Service: service, Cores: cores, Memory: memory}); !ok {
+		return 0, 0, 0, false
+	}
+	if s.ledger.Len() > before {
+		s.table.Join(d.sh.index, service)
+	}
+	if lost {
+		delete(s.lost, n)
+		s.ownedBy(ask.Owner, ask.Ref, d.sh.index)
+	}
+	return epoch, ask.Owner, ask.Ref, true
+}
+
+func (d edge) Dropped(tenant int, token uint64, service uint64, epoch uint32) {
+	s := d.sh.s
+	s.desk.Lock()
+	if s.ledger.Drop(ledger.Name{Tenant: tenant, Token: token}, d.sh.index, epoch) {
+		s.table.Leave(d.sh.index, service)
+	}
+	s.desk.Unlock()
+}
+
+func (d edge) Final(tenant int, token uint64, epoch uint32) bool {
+	s := d.sh.s
+	s.desk.Lock()
+	defer s.desk.Unlock()
+	return s.ledger.Answer(ledger.Name{Tenant: tenant, Token: token}, d.sh.index, epoch)
+}
+
+func (d edge) Answer(owner uint32, ref uint64, answer engine.Answer, nd uint32, why string, holdOff float64) {
+	if !d.dead() {
+		d.sh.s.answer(owner, ref, answer, nd, why, holdOff)
+	}
+}
+
+func (d edge) Over(owner uint32, ref uint64, verdict logic.Verdict, why logic.Reason) {
+	if d.dead() {
+		return
+	}
+	if o := d.sh.s.owner(owner); o != nil {
+		o.over(ref, verdict, why)
+	}
+}
+
+// fence ends a shard whose state can't be trusted any more: it gets no leave for anything, and what it acted for
+// goes on at other shards, ends as its effect allows, or is found running by the shard's next life.
+func (s *server) fence(sh *shard, why string) {
+	if !sh.fenced.CompareAndSwap(false, true) {
+		return
+	}
+	now := s.clock.now()
+	place := s.who.Place
+	var n [4]int
+	type moved struct {
+		to    *shard
+		o     ledger.Orphan
+		epoch uint32
+	}
+	var moves []moved
+	s.desk.Lock()
+	s.dog.Fence(now, sh.index)
+	s.table.Down(sh.index)
+	orphans := s.ledger.Fence(now, sh.index, place.Margin+10*place.Cluster.Step)
+	for i := range orphans {
+		o := &orphans[i]
+		s.table.Leave(sh.index, o.Entry.Service)
+		pinned := place.Cluster.JobTypes[o.Entry.Job].Spread != logic.Anywhere
+		if pinned { // its next home must first hear what runs, or the spread would be broken
+			s.resting[o.Entry.Service] = now + restFor
+		}
+		if o.Fate == ledger.Moves {
+			to, ok := s.table.Place(o.Entry.Service, o.Name.Tenant, false)
+			if ok && !pinned {
+				moves = append(moves, moved{s.shards[to], *o, s.ledger.Take(o.Name, to, o.Entry.Ask)})
+				s.ownedBy(o.Entry.Owner, o.Entry.Ref, to)
+			} else {
+				if ok {
+					s.table.Leave(to, o.Entry.Service)
+				}
+				o.Fate = ledger.Declines
+			}
+		}
+		if o.Fate == ledger.Continues {
+			s.lost[o.Name] = o.Entry.Ask
+		}
+		n[o.Fate]++
+	}
+	s.desk.Unlock()
+	sh.inbox.close()
+	for _, o := range orphans {
+		if o.Fate == ledger.Declines {
+			s.answer(o.Entry.Owner, o.Entry.Ref, engine.Declined, 0, "shard-fenced", 0)
+		} else if o.Fate == ledger.Fails {
+			s.answer(o.Entry.Owner, o.Entry.Ref, engine.Failed, 0, "shard-fenced", 0)
+		}
+	}
+	for _, m := range moves {
+		a, name := m.o.Entry.Ask, m.o.Name
+		m.to.tell(func(now float64) {
+			_ = m.to.eng.Allocate(now, a.Owner, a.Ref, a.Job, name.Tenant, a.Service, name.Token, a.Cores, a.Memory,
+				a.Expiry-now, m.epoch) // the ask was free at this owner, and still is
+		})
+	}
+	if place.Connections == site.Own {
+		sh.trunk.close("shard fenced")
+	}
+	s.log.Warn().Str("mode", "shards").Int("shard", sh.index).Int("moved", n[ledger.Moves]).
+		Int("declined", n[ledger.Declines]).Int("failed", n[ledger.Fails]).Int("run", n[ledger.Continues]).
+		Float64("ms", s.clock.now()-now).Msg("fenced: " + why)
+}
+
+// restFor is how long a service whose tasks must be spread rests after its shard was fenced: the time in which the
+// shard's next life starts and hears from the nodes what runs.
+const restFor = 2500
+
+// watch looks after the shards: fences those that stand still, starts those that were fenced.
+func (s *server) watch(ctx context.Context, every time.Duration) {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	beats := make([]float64, len(s.shards))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := s.clock.now()
+		s.desk.Lock()
+		for i, sh := range s.shards {
+			beats[i] = math.Float64frombits(sh.beat.Load())
+			s.table.Seen(i, sh.inbox.waited(now))
+		}
+		fence, start := s.dog.Look(now, beats)
+		for _, i := range fence {
+			beats[i] = now - beats[i]
+		}
+		s.ledger.Forget(now)
+		for service, until := range s.resting {
+			if now > until {
+				delete(s.resting, service)
+			}
+		}
+		var stuck []*shard
+		for _, i := range fence {
+			stuck = append(stuck, s.shards[i])
+		}
+		s.desk.Unlock()
+		for _, sh := range stuck {
+			s.fence(sh, fmt.Sprintf("no sign of life for %.0f ms", beats[sh.index]))
+		}
+		for _, i := range start {
+			if err := s.restart(ctx, i); err != nil {
+				s.log.Error().Str("mode", "shards").Int("shard", i).Err(err).Msg("not started again")
+			}
+		}
+	}
+}
+
+// restart gives a fenced shard a new life; it hears from the nodes what runs for it.
+func (s *server) restart(ctx context.Context, index int) error {
+	sh, err := s.newShard(index)
+	if err != nil {
+		return err
+	}
+	s.desk.Lock()
+	old := s.shards[index]
+	s.ledger.Epoch = max(s.ledger.Epoch, sh.life)
+	s.shards[index] = sh
+	s.lives[sh.life] = sh
+	s.table.Up(index)
+	s.desk.Unlock()
+	if s.who.Place.Connections == site.Own {
+		sh.trunk = newTrunk(s, index)
+		sh.trunk.set(sh)
+	} else {
+		sh.trunk = old.trunk
+	}
+	s.lastListTo(sh)
+	if s.who.Place.Connections != site.Own {
+		sh.trunk.replay(sh)
+	}
+	s.loops(ctx, sh)
+	s.log.Info().Str("mode", "shards").Int("shard", index).Uint32("life", sh.life).Msg("started again")
+	return nil
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -82,10 +82,24 @@
 			{Name: "owner-queue", Kind: sheet.Whole, Default: "20000", Min: 16, Max: 1e7},
 			{Name: "node-queue", Kind: sheet.Whole, Default: "262144", Min: 4096, Max: 1 << 30},
 		}},
+		{Name: "shards", Most: 1, Attrs: []sheet.Attr{
+			{Name: "count", Kind: sheet.Whole, Must: true, Min: 1, Max: 64},
+			{Name: "connections", Kind: sheet.Word, Default: "shared", Words: []string{"own", "shared", "informed"}},
+			{Name: "place", Kind: sheet.Word, Default: "service", Words: []string{"service", "tenant", "in-turn"}},
+		}},
 		{Name: "node-list", Least: 1, Most: 1, Attrs: []sheet.Attr{{Name: "address", Kind: sheet.Address, Must: true}}},
 		{Name: "owners", Least: 1, Most: 1, Attrs: []sheet.Attr{{Name: "listen", Kind: sheet.Address, Must: true}}},
 	}}
 
+// Connections says what the shards of a process share.
+type Connections int
+
+const (
+	Own      Connections = iota // each has its connections to all nodes
+	Shared                      // one connection a node carries the tries of all
+	Informed                    // and reports that one hears are told to all
+)
+
 // Place is what a site file says.
 type Place struct {
 	Name               string
@@ -99,6 +113,9 @@
 	Open               int
 	Owners, OwnerQueue int
 	NodeQueue          int
+	Shards             int
+	Connections        Connections
+	PlaceBy            int // a shares.Way
 	ListAddress        string
 	OwnersListen       string
 }
@@ -149,6 +166,10 @@
 	for _, z := range top.All("zone") {
 		p.Zones = append(p.Zones, z.Text("name"))
 	}
+	p.Shards, p.Connections = 1, Shared
+	if sh := top.One("shards"); sh != nil {
+		p.Shards, p.Connections, p.PlaceBy = sh.Int("count"), Connections(sh.Word("connections")), sh.Word("place")
+	}
 	kinds := map[string]int{}
 	for i, m := range top.All("machine") {
 		kinds[m.Text("kind")] = i
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 
 	"ravenpond/internal/proto/node"
 )
@@ -84,6 +85,17 @@
 	ready          float64 // its look or start is done
 }
 
+// epochName is an allocation's at one scheduler process, whichever of its shards acts: ids are per name before a dot.
+type epochName struct {
+	sched string
+	token uint64
+}
+
+func epochOf(t *task) epochName {
+	base, _, _ := strings.Cut(t.sched, ".")
+	return epochName{base, t.token}
+}
+
 type memory struct {
 	at              float64
 	outcome, reason int
@@ -121,7 +133,7 @@
 	asked     [2]float64
 	past      map[name]memory
 	bars      map[name]bool
-	epochs    map[uint64]uint32 // by token, the highest seen
+	epochs    map[epochName]uint32 // the highest seen
 	offers    []float64
 	lastNote  float64
 	oldReport []float64
@@ -145,7 +157,7 @@
 	}
 	m.now, m.born, m.cold, m.down, m.draining, m.sends = now, now, cold, false, false, false
 	m.line, m.order, m.programs, m.asked, m.offers = nil, nil, nil, [2]float64{}, nil
-	m.tasks, m.past, m.bars, m.epochs = map[name]*task{}, map[name]memory{}, map[name]bool{}, map[uint64]uint32{}
+	m.tasks, m.past, m.bars, m.epochs = map[name]*task{}, map[name]memory{}, map[name]bool{}, map[epochName]uint32{}
 	m.oldReport = nil
 }
 
@@ -195,14 +207,14 @@
 	}
 	m.tasks[n] = t
 	switch {
-	case m.bars[n], epoch < m.epochs[token]: // given up before it came, or of an owner that lost it
+	case m.bars[n], epoch < m.epochs[epochOf(t)]: // given up before it came, or of an owner that lost it
 		m.settle(t, node.Refused, 4)
 	case m.draining:
 		m.settle(t, node.Refused, 4)
 	case len(m.line) >= m.Line:
 		m.settle(t, node.Refused, 3)
 	default:
-		m.epochs[token] = epoch
+		m.epochs[epochOf(t)] = epoch
 		m.enter(t)
 	}
 }
@@ -567,6 +579,6 @@
 		}
 	}
 	if len(m.epochs) > rememberMost || len(m.bars) > rememberMost {
-		m.epochs, m.bars = map[uint64]uint32{}, map[name]bool{}
+		m.epochs, m.bars = map[epochName]uint32{}, map[name]bool{}
 	}
 }
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -227,16 +227,7 @@
 		n.rec(audit.Linked, p.sched, 0, 0, "")
 		p.queue = line.AppendGreeting(p.queue, node.Opening, "Node", strconv.FormatUint(uint64(n.ID), 10),
 			"Life", strconv.FormatUint(n.life, 10))
-		n.Machine.Held(now, p.sched, func(ticket uint64, try uint8, runs bool, job, tenant int, service, token uint64,
-			cores, memory float64) {
-			state := 0
-			if runs {
-				state = 1
-				n.rec(audit.Confirmed, p.sched, ticket, try, "")
-			}
-			p.queue = node.AppendHeld(p.queue, ticket, try, state, job, tenant, service, token, cores, memory)
-		})
-		p.queue = node.AppendHeldAll(p.queue)
+		p.tell(now)
 	})
 	if p.ended {
 		return
@@ -261,6 +252,29 @@
 	})
 }
 
+// tell queues all that the node holds for the scheduler; under the world's lock.
+func (p *peer) tell(now float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.n.Machine.Held(now, p.sched, func(ticket uint64, try uint8, runs bool, job, tenant int, service, token uint64,
+		cores, memory float64) {
+		state := 0
+		if runs {
+			state = 1
+			p.n.rec(audit.Confirmed, p.sched, ticket, try, "")
+		}
+		p.queue = node.AppendHeld(p.queue, ticket, try, state, job, tenant, service, token, cores, memory)
+	})
+	p.queue = node.AppendHeldAll(p.queue)
+}
+
+// Tell tells again all that is held.
+func (p *peer) Tell() error {
+	err := p.event(p.tell)
+	p.rouse()
+	return err
+}
+
 func (p *peer) write() {
 	for {
 		<-p.wake
