--- a/cmd/ravenpond/main.go
+++ b/cmd/ravenpond/main.go
@@ -18,6 +18,7 @@
 	"github.com/google/renameio/v2"
 	"github.com/rs/zerolog"
 
+	"ravenpond/internal/lab/cores"
 	"ravenpond/internal/lab/drill"
 	"ravenpond/internal/lab/load"
 	"ravenpond/internal/serve"
@@ -34,7 +35,8 @@
 	} `cmd:"" help:"Site files."`
 	Drill drillCommand `cmd:"" help:"Play a scripted bad day on loopback and audit the rules."`
 	Lab   struct {
-		Load loadCommand `cmd:"" help:"Load a scheduler on loopback and print its latency and CPU time."`
+		Load  loadCommand  `cmd:"" help:"Load a scheduler on loopback and print its latency and CPU time."`
+		Cores coresCommand `cmd:"" help:"Measure several shards, and check that none ever shares an allocation."`
 	} `cmd:"" help:"Measurements and experiments."`
 }
 
@@ -206,6 +208,47 @@
 	return nil
 }
 
+type coresCommand struct {
+	Counts []int         `default:"1,2,4,8" help:"Counts of shards."`
+	Nodes  int           `default:"130" help:"Stand-in nodes."`
+	Rate   float64       `default:"1500" help:"Asks a second for latency and CPU time."`
+	Flood  float64       `default:"9000" help:"Asks a second for throughput: more than can be carried."`
+	Last   time.Duration `default:"4s" help:"Length of each trial over sockets."`
+	Asks   int           `default:"60000" help:"Asks of each trial in memory."`
+	Check  int           `default:"500000" help:"Asks of the check, at 4 and at 8 shards each; 0 leaves it out."`
+	Tables bool          `default:"true" negatable:"" help:"Print the tables."`
+	Seed   uint64        `default:"1" help:"Seed of the check."`
+}
+
+func (c *coresCommand) Run(ctx context.Context) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	out, err := os.MkdirTemp("", "ravenpond-cores-")
+	if err != nil {
+		return err
+	}
+	t := cores.Table{Command: []string{self}, Counts: c.Counts, Nodes: c.Nodes, Rate: c.Rate, Flood: c.Flood, Last: c.Last,
+		Asks: c.Asks, Cores: runtime.NumCPU(), Out: out}
+	if c.Tables {
+		if err := t.Sockets(ctx, os.Stdout); err != nil {
+			return err
+		}
+		if err := t.Memory(ctx, os.Stdout); err != nil {
+			return err
+		}
+	}
+	if c.Check == 0 {
+		return nil
+	}
+	broken, err := cores.Million(ctx, os.Stdout, c.Check, []int{4, 8}, c.Seed)
+	if err == nil && broken > 0 {
+		err = fmt.Errorf("%d breaks", broken)
+	}
+	return err
+}
+
 type loadCommand struct {
 	Rates    []float64     `default:"500,1000,2000,4000" help:"Asks a second, a trial for each."`
 	Nodes    int           `default:"130" help:"Stand-in nodes."`
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -192,9 +192,7 @@
 			all = append(all, Orphan{n, *en, l.fate(now, en, leastLeft)})
 		}
 	}
-	slices.SortFunc(all, func(x, y Orphan) int {
-		return cmp.Or(cmp.Compare(x.Name.Tenant, y.Name.Tenant), cmp.Compare(x.Name.Token, y.Name.Token))
-	})
+	slices.SortFunc(all, byName)
 	for _, o := range all {
 		l.spare = append(l.spare, l.all[o.Name])
 		delete(l.all, o.Name)
@@ -206,6 +204,28 @@
 	return all
 }
 
+// Overdue answers what a shard that gives no sign of life has not answered and whose expiry is within so many ms: an
+// answer may not wait until the shard is fenced, or runs on. The shard keeps what it has out but gets no leave any more.
+func (l *Ledger) Overdue(now float64, shard int, within float64) []Orphan {
+	var all []Orphan
+	for n, en := range l.all {
+		if en.Shard == shard && !en.Answered && en.Expiry-now < within {
+			en.Answered = true
+			o := Orphan{Name: n, Entry: *en, Fate: Fails}
+			if j := &l.jobs[en.Job]; doubt.Withdrawn(j.Effect, j.Group, en.Out, en.MayHave) {
+				o.Fate = Declines
+			}
+			all = append(all, o)
+		}
+	}
+	slices.SortFunc(all, byName)
+	return all
+}
+
+func byName(x, y Orphan) int {
+	return cmp.Or(cmp.Compare(x.Name.Tenant, y.Name.Tenant), cmp.Compare(x.Name.Token, y.Name.Token))
+}
+
 func (l *Ledger) fate(now float64, en *Entry, leastLeft float64) Fate {
 	j := &l.jobs[en.Job]
 	switch {
--- a/internal/decide/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -54,6 +54,24 @@
 	})
 }
 
+func TestOverdue(t *testing.T) {
+	l := Table(jobs, 1)
+	for i, expiry := range []float64{1100, 1100, 5000, 1100} {
+		l.Take(Name{0, uint64(i)}, i/3, Ask{Job: 3, Expiry: expiry})
+	}
+	l.Send(Name{0, 1}, 0, 1, Try{})
+	all := l.Overdue(1000, 0, 150)
+	if len(all) != 2 || all[0].Fate != Declines || all[1].Fate != Fails {
+		t.Errorf("%+v", all)
+	}
+	if l.Answer(Name{0, 0}, 0, 1) || l.Send(Name{0, 0}, 0, 1, Try{}) {
+		t.Error("leave after the answer was given")
+	}
+	if len(l.Overdue(1000, 0, 150)) != 0 {
+		t.Error("answered twice")
+	}
+}
+
 func TestBarring(t *testing.T) {
 	for job, want := range []State{New, Barring, Barring, Barring} {
 		l, n := Table(jobs, 1), Name{0, 7}
--- a/internal/decide/watch/watch.go
+++ b/internal/decide/watch/watch.go
@@ -8,6 +8,7 @@
 // Times in milliseconds.
 const (
 	standsAt = 2000  // without a sign of life, while the process runs
+	quiet    = 250   // without a sign of life: still to be expected on a busy machine
 	lookEach = 100   // between two looks
 	stood    = 400   // between two looks: then the process itself stood still, and every shard gets a new start
 	again    = 250   // before a fenced shard is started again, doubled each time up to
@@ -76,5 +77,9 @@
 	s.fails++
 }
 
+// Quiet tells whether a shard has given no sign of life for longer than its housekeeping comes: what is about to
+// expire there can't wait for it.
+func Quiet(now, beat float64) bool { return now-beat > quiet }
+
 // Fenced tells whether a shard is.
 func (d *Dog) Fenced(at int) bool { return d.shards[at].fenced }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -694,12 +694,10 @@
 	late := a.late
 	a.late = tryName{}
 	e.sched.Started(e.now, a.id, a.moduleTry(), took)
-	if !a.answered && e.now < a.expiry {
+	if !a.answered {
 		e.answer(a, Served, e.nodes[a.nd].id, "", 0)
-	} else {
-		if !a.answered {
-			e.answer(a, Failed, 0, "", 0)
-		}
+	}
+	if a.owner == nobody { // answered before, or too late to be told
 		e.stats.Late++
 		if doubt.Late(e.effects[a.job], false, false) == doubt.Stop {
 			e.stop(a)
--- /dev/null
+++ b/internal/lab/cores/check.go
@@ -0,0 +1,510 @@
+// Package cores measures what several shards gain and cost, and checks by a great many allocations under races,
+// shard kills and stand-stills that no allocation ever has two tries out, no run-once one starts twice, and none
+// stays without an answer.
+package cores
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rs/zerolog"
+
+	"ravenpond/internal/engine"
+	"ravenpond/internal/proto/line"
+	"ravenpond/internal/proto/list"
+	"ravenpond/internal/proto/node"
+	"ravenpond/internal/serve"
+	"ravenpond/internal/site"
+	"ravenpond/internal/state"
+)
+
+const siteText = `<site name="cores">
+  <cluster schedulers="1" list="asked" ask-every="1h" step="1ms" tries="6" cores-limit="100" memory-limit="100"
+           mean-cores="1" mean-memory="2"/>
+  <rules drain-grace="2s" cold-bears="100000" cold-for="10ms" cold-window="10ms" answer-margin="200ms" settle="1s"/>
+  <zone name="one"/><zone name="two"/>
+  <machine kind="plain" cores="1000" memory="2000"/>
+  <job-type name="free" effect="restartable" target="1s" expiry="4s" value="1"/>
+  <job-type name="keyed" effect="tokened" group="zone" window="4s" target="1s" expiry="4s" value="2"/>
+  <job-type name="once" effect="run-once" target="1s" expiry="4s" value="3"/>
+  <tenant name="t" share="1"/>
+  <limits open="200000"/>
+  <shards count="%d" connections="%s"/>
+  <node-list address="127.0.0.1:1"/>
+  <owners listen="127.0.0.1:0"/>
+</site>`
+
+// Trial is one run in this process, over an in-memory transport.
+type Trial struct {
+	Shards  int
+	Connect string // own, shared or informed
+	Asks    int
+	Window  int // asks open at once
+	Nodes   int
+	Twice   float64       // part of the keys that are asked for on two connections at once
+	Harm    time.Duration // mean time between a panic or stand-still of a shard; 0: none
+	Trust   bool          // the epoch check is left out, which must be found
+	Seed    uint64
+}
+
+// Verdict is what came of a trial.
+type Verdict struct {
+	Asks, Served, Declined, Failed  int
+	Duplicates, Seconds, Unanswered int // tries while one is out; starts of a run-once one after the first; asks
+	Twice                           int // answers after the first
+	Harms, Lives                    int
+	Stale                           int // offers of an epoch lower than some node has seen
+	Took, CPU                       time.Duration
+	Start                           *hdrhistogram.Histogram // us from ask to served
+}
+
+// bench is the world of a trial.
+type bench struct {
+	Trial
+	mu      sync.Mutex
+	out     map[uint64]held // by token: the try that is out or runs
+	started map[uint64]int  // starts of run-once ones
+	epochs  []map[uint64]uint32
+	newest  map[uint64]uint32
+	v       Verdict
+	harms   atomic.Int32
+	lives   atomic.Int32
+	begun   time.Time
+}
+
+type held struct {
+	nd    uint32
+	name  string
+	until time.Time
+	job   int
+}
+
+// Check runs a trial.
+func Check(ctx context.Context, tr Trial) (*Verdict, error) {
+	place, faults := site.Read(strings.NewReader(fmt.Sprintf(siteText, tr.Shards, tr.Connect)))
+	if len(faults) > 0 {
+		return nil, fmt.Errorf("site of the trial: %s", faults[0])
+	}
+	dir, err := os.MkdirTemp("", "ravenpond-cores-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	if err := knownNodes(dir, tr.Nodes); err != nil {
+		return nil, err
+	}
+	b := &bench{Trial: tr, out: map[uint64]held{}, started: map[uint64]int{}, newest: map[uint64]uint32{}, begun: time.Now()}
+	b.v.Start = hdrhistogram.New(1, 1e7, 3)
+	for range tr.Nodes {
+		b.epochs = append(b.epochs, map[uint64]uint32{})
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	local, ended := make(chan *serve.Local, 1), make(chan error, 1)
+	var nodes sync.WaitGroup
+	go func() {
+		ended <- serve.Run(ctx, serve.Scheduler{Place: place, Name: "s", Folder: dir, Seed: tr.Seed, Log: zerolog.Nop(),
+			Plant: serve.Plant{Edge: b.harm, Trust: tr.Trust}, Local: func(l *serve.Local) { local <- l },
+			Dial: func(_ context.Context, address string) (net.Conn, error) {
+				nd, err := strconv.Atoi(address)
+				if err != nil {
+					return nil, err
+				}
+				here, there := net.Pipe()
+				nodes.Go(func() { b.node(uint32(nd), there) })
+				return here, nil
+			}})
+	}()
+	var l *serve.Local
+	select {
+	case l = <-local:
+	case err := <-ended:
+		return nil, err
+	}
+	time.Sleep(400 * time.Millisecond) // connections
+	used, began := cpu(), time.Now()
+	b.ask(l)
+	b.v.Took, b.v.CPU = time.Since(began), cpu()-used
+	stop()
+	if err := <-ended; err != nil {
+		return nil, err
+	}
+	nodes.Wait()
+	b.v.Harms, b.v.Lives = int(b.harms.Load()), int(b.lives.Load())
+	return &b.v, nil
+}
+
+func knownNodes(dir string, n int) error {
+	f, err := state.Open(dir)
+	if err != nil {
+		return err
+	}
+	l := state.NewList()
+	if err := l.Begin(list.Whole, 1); err != nil {
+		return err
+	}
+	for i := range n {
+		zone := []string{"one", "two"}[i%2]
+		l.Put(state.Entry{ID: uint32(i + 1), Address: strconv.Itoa(i), Avail: 1, FreeCores: 1000, FreeMemory: 2000,
+			Zone: zone, Cell: zone, Kind: "plain"})
+	}
+	l.End()
+	if err := f.SaveList(l.Text()); err != nil {
+		return err
+	}
+	return f.Close()
+}
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// sink is an owner: it counts answers.
+type sink struct {
+	b       *bench
+	mu      sync.Mutex
+	asked   map[uint64]time.Time
+	answers map[uint64]engine.Answer
+	room    chan struct{}
+}
+
+func (s *sink) Over(uint64) {}
+
+func (s *sink) Answer(ref uint64, answer engine.Answer) {
+	s.mu.Lock()
+	_, twice := s.answers[ref]
+	s.answers[ref] = answer
+	at := s.asked[ref]
+	delete(s.asked, ref)
+	s.mu.Unlock()
+	s.b.mu.Lock()
+	switch {
+	case twice:
+		s.b.v.Twice++
+	case answer == engine.Served:
+		s.b.v.Served++
+		_ = s.b.v.Start.RecordValue(time.Since(at).Microseconds()) // beyond 10 s is not told apart
+	case answer == engine.Declined:
+		s.b.v.Declined++
+	default:
+		s.b.v.Failed++
+	}
+	s.b.mu.Unlock()
+	if twice {
+		return
+	}
+	if answer == engine.Served {
+		<-s.room
+	} else { // owners ask less while they are turned away
+		time.AfterFunc(10*time.Millisecond, func() { <-s.room })
+	}
+}
+
+// ask asks for all keys by four owners, some of them by two at once, and waits for the answers.
+func (b *bench) ask(l *serve.Local) {
+	const owners = 4
+	var all [owners]*sink
+	var conns [owners]*serve.LocalOwner
+	for i := range all {
+		all[i] = &sink{b: b, asked: map[uint64]time.Time{}, answers: map[uint64]engine.Answer{},
+			room: make(chan struct{}, max(1, b.Window/owners))}
+		conns[i] = l.Owner(all[i])
+	}
+	one := func(i int, ref uint64, key uint64, job int) {
+		s := all[i]
+		s.mu.Lock()
+		s.asked[ref] = time.Now()
+		s.mu.Unlock()
+		conns[i].Allocate(ref, 0, job, serve.Hash("service", strconv.FormatUint(key%997, 10)), serve.Hash("key",
+			strconv.FormatUint(key, 10)), 1, 2, 4000)
+	}
+	var work sync.WaitGroup
+	for i := range owners {
+		work.Go(func() {
+			rng := rand.New(rand.NewPCG(b.Seed, uint64(i)))
+			for n := i; n < b.Asks; n += owners {
+				key, job := uint64(n), [...]int{0, 1, 2, 2}[rng.IntN(4)]
+				all[i].room <- struct{}{}
+				var second sync.WaitGroup
+				if other := (i + 1) % owners; rng.Float64() < b.Twice {
+					select { // at the same moment, or not at all: later, it would be another allocation
+					case all[other].room <- struct{}{}:
+						second.Go(func() { one(other, uint64(n)+1<<40, key, job) })
+					default:
+					}
+				}
+				one(i, uint64(n)+1, key, job)
+				second.Wait()
+			}
+		})
+	}
+	work.Wait()
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		left := 0
+		for _, s := range all {
+			s.mu.Lock()
+			left += len(s.asked)
+			s.mu.Unlock()
+		}
+		if left == 0 {
+			break
+		}
+	}
+	for _, s := range all {
+		s.mu.Lock()
+		b.v.Unanswered += len(s.asked)
+		b.v.Asks += len(s.asked) + len(s.answers)
+		s.mu.Unlock()
+	}
+}
+
+// harmed lets a shard panic or stand still now and then, in the middle of what it does.
+type harmed struct {
+	engine.Edge
+	b     *bench
+	rng   *rand.Rand
+	next  time.Time
+	index int32
+}
+
+func (b *bench) harm(e engine.Edge) engine.Edge {
+	life := b.lives.Add(1)
+	if b.Harm == 0 {
+		return e
+	}
+	h := &harmed{Edge: e, b: b, rng: rand.New(rand.NewPCG(b.Seed, uint64(life)+100)), index: life}
+	h.next = time.Now().Add(time.Duration(h.rng.ExpFloat64() * float64(b.Harm) * float64(b.Shards)))
+	return h
+}
+
+// due tells whether a harm is.
+func (h *harmed) due() bool {
+	if time.Now().Before(h.next) {
+		return false
+	}
+	h.next = time.Now().Add(time.Duration(h.rng.ExpFloat64() * float64(h.b.Harm) * float64(h.b.Shards)))
+	h.b.harms.Add(1)
+	return true
+}
+
+// Leave is where a shard stands still: longer than the watchdog allows, so that it is fenced and wakes up later with
+// a try in hand. Sometimes it has leave for it already, and sometimes it panics with that.
+func (h *harmed) Leave(tenant int, token uint64, epoch uint32, nd uint32, ticket uint64, try uint8) bool {
+	harm, kind := h.due(), h.rng.IntN(4)
+	if harm && kind > 1 {
+		time.Sleep(2400 * time.Millisecond)
+	}
+	ok := h.Edge.Leave(tenant, token, epoch, nd, ticket, try)
+	if harm && kind == 1 {
+		time.Sleep(2400 * time.Millisecond)
+	} else if harm && kind == 0 {
+		panic("planted, with leave for a try")
+	}
+	return ok
+}
+
+// Known is where it panics with an outcome in hand.
+func (h *harmed) Known(tenant int, token uint64, epoch uint32, never bool) {
+	if h.rng.IntN(4) == 0 && h.due() {
+		panic("planted, with an outcome")
+	}
+	h.Edge.Known(tenant, token, epoch, never)
+}
+
+// peer is a scheduler's connection to a node of the bench. It refuses some offers, starts others at once, ends them
+// soon, and keeps what it holds for its scheduler's next connection.
+type peer struct {
+	b     *bench
+	nd    uint32
+	sched string
+	conn  net.Conn
+	rng   *rand.Rand
+	mu    sync.Mutex
+	queue []byte
+	wake  chan struct{}
+	held  []offer
+}
+
+type offer struct {
+	ticket         uint64
+	try            uint8
+	job, tenant    int
+	service, token uint64
+	ends           time.Time
+}
+
+func (b *bench) node(nd uint32, conn net.Conn) {
+	defer conn.Close()
+	in := line.NewReader(conn)
+	head, err := in.Greeting(node.Opening)
+	if err != nil {
+		return
+	}
+	p := &peer{b: b, nd: nd, sched: head.Get("Scheduler"), conn: conn, wake: make(chan struct{}, 1),
+		rng: rand.New(rand.NewPCG(b.Seed, uint64(nd)))}
+	p.queue = line.AppendGreeting(nil, node.Opening, "Node", strconv.Itoa(int(nd)+1), "Life", "1")
+	p.queue = node.AppendHeldAll(p.queue)
+	done := make(chan struct{})
+	go func() { defer close(done); p.write() }()
+	p.rouse()
+	for err == nil {
+		var fields [][]byte
+		if fields, err = in.Next(); err == nil {
+			err = node.DecodeScheduler(fields, p)
+		}
+	}
+	conn.Close()
+	p.rouse()
+	<-done
+}
+
+func (p *peer) rouse() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// write sends what is queued, and ends what has run long enough.
+func (p *peer) write() {
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-p.wake:
+		case <-tick.C:
+		}
+		p.mu.Lock()
+		now := time.Now()
+		left := p.held[:0]
+		for _, o := range p.held {
+			if now.After(o.ends) {
+				p.b.over(o.token, p.nd, o.ticket, o.try)
+				p.queue = node.AppendSettled(p.queue, o.ticket, o.try, node.Ended, 0, []float64{900, 1800})
+			} else {
+				left = append(left, o)
+			}
+		}
+		p.held = left
+		b := p.queue
+		p.queue = nil
+		p.mu.Unlock()
+		if _, err := p.conn.Write(b); err != nil {
+			return
+		}
+	}
+}
+
+func (p *peer) say(b func([]byte) []byte) {
+	p.mu.Lock()
+	p.queue = b(p.queue)
+	p.mu.Unlock()
+	p.rouse()
+}
+
+func (b *bench) over(token uint64, nd uint32, ticket uint64, try uint8) {
+	b.mu.Lock()
+	if h, ok := b.out[token]; ok && h.nd == nd && h.name == tryName(ticket, try) {
+		delete(b.out, token)
+	}
+	b.mu.Unlock()
+}
+
+func tryName(ticket uint64, try uint8) string {
+	return strconv.FormatUint(ticket, 16) + "." + strconv.Itoa(int(try))
+}
+
+func (p *peer) Offer(ticket uint64, try uint8, epoch uint32, timeout float64, job, tenant int, service, token uint64,
+	_, _ float64) error {
+	b, now := p.b, time.Now()
+	b.mu.Lock()
+	seen := b.epochs[p.nd][token]
+	turned := epoch < seen || p.rng.IntN(20) == 0
+	if epoch < b.newest[token] {
+		b.v.Stale++
+	}
+	b.newest[token] = max(b.newest[token], epoch)
+	if !turned {
+		b.epochs[p.nd][token] = epoch
+		if h, ok := b.out[token]; ok && now.Before(h.until) {
+			b.v.Duplicates++
+		}
+		b.out[token] = held{p.nd, tryName(ticket, try), now.Add(time.Duration(timeout * 1e6)), job}
+		if job == 2 {
+			if b.started[token]++; b.started[token] > 1 {
+				b.v.Seconds++
+			}
+		}
+	}
+	b.mu.Unlock()
+	p.say(func(q []byte) []byte {
+		if turned {
+			return node.AppendSettled(q, ticket, try, node.Refused, 1+p.rng.IntN(2), []float64{900, 1800})
+		}
+		p.held = append(p.held, offer{ticket, try, job, tenant, service, token, now.Add(time.Duration(60+p.rng.IntN(40)) * time.Millisecond)})
+		return node.AppendStarted(q, ticket, try, 1)
+	})
+	return nil
+}
+
+func (p *peer) Recall(uint64, uint8) error { return nil } // all starts at once: there is nothing to hand back
+
+func (p *peer) Stop(ticket uint64, try uint8) error {
+	p.mu.Lock()
+	for i := range p.held {
+		if p.held[i].ticket == ticket && p.held[i].try == try {
+			p.held[i].ends = time.Time{}
+		}
+	}
+	p.mu.Unlock()
+	p.rouse()
+	return nil
+}
+
+func (p *peer) Claim(ticket uint64, try uint8) error {
+	p.say(func(q []byte) []byte {
+		for _, o := range p.held {
+			if o.ticket == ticket && o.try == try {
+				return node.AppendClaimed(q, ticket, try, node.ClaimedRuns, 0)
+			}
+		}
+		return node.AppendClaimed(q, ticket, try, node.ClaimedOutcome+node.Unknown, 0)
+	})
+	return nil
+}
+
+func (p *peer) Probe(seq uint64) error {
+	p.say(func(q []byte) []byte { return node.AppendReported(q, seq, []float64{900, 1800}) })
+	return nil
+}
+
+func (p *peer) Ping() error {
+	p.say(node.AppendPong)
+	return nil
+}
+
+func (p *peer) Tell() error {
+	p.say(func(q []byte) []byte {
+		for _, o := range p.held {
+			q = node.AppendHeld(q, o.ticket, o.try, 1, o.job, o.tenant, o.service, o.token, 1, 2)
+		}
+		return node.AppendHeldAll(q)
+	})
+	return nil
+}
+
+func (p *peer) Bye(why string) error { return fmt.Errorf("farewell: %s", why) }
--- /dev/null
+++ b/internal/lab/cores/cores.go
@@ -0,0 +1,117 @@
+package cores
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"ravenpond/internal/lab/load"
+)
+
+// Ways are what shards may share, as the site file names them.
+var Ways = []string{"own", "shared", "informed"}
+
+// Table is what to measure.
+type Table struct {
+	Command []string // that runs a scheduler process
+	Counts  []int
+	Nodes   int
+	Rate    float64       // for latency and CPU time, asks a second
+	Flood   float64       // for throughput: more than can be carried
+	Last    time.Duration // of each trial
+	Asks    int           // of each trial in memory
+	Cores   int
+	Out     string
+}
+
+func withShards(count int, way string) string {
+	return strings.Replace(load.Site, "<node-list", fmt.Sprintf("<shards count=\"%d\" connections=%q/>\n  <node-list",
+		count, way), 1)
+}
+
+// Sockets measures over loopback, with load and stand-ins in this process and the scheduler beside it.
+func (t Table) Sockets(ctx context.Context, out io.Writer) error {
+	fmt.Fprintf(out, "over sockets, %d nodes, %d cores shared by load, stand-ins and scheduler; times in ms\n", t.Nodes, t.Cores)
+	fmt.Fprintf(out, "%6s %-9s %10s %9s %9s %9s %11s %10s\n", "shards", "share", "cpu us", "offer p50", "p99", "p99.9",
+		"flood: a s", "start p99")
+	for _, way := range Ways {
+		for _, n := range t.Counts {
+			if n == 1 && way != Ways[0] {
+				continue // one shard shares with nobody
+			}
+			tr := load.Trial{Command: t.Command, Site: withShards(n, way), Nodes: t.Nodes, Owners: 4, Rate: t.Rate,
+				Warm: time.Second, Last: t.Last, Services: 200, Life: 300, Out: t.Out}
+			calm, err := load.Run(ctx, tr)
+			if err != nil {
+				return err
+			}
+			tr.Rate = t.Flood
+			flood, err := load.Run(ctx, tr)
+			if err != nil {
+				return err
+			}
+			q := func(p float64) float64 { return float64(calm.Offer.ValueAtQuantile(p)) / 1000 }
+			fmt.Fprintf(out, "%6d %-9s %10.1f %9.2f %9.2f %9.2f %11.0f %10.1f%s\n", n, way, float64(calm.PerAlloc)/1e3, q(50), q(99),
+				q(99.9), float64(flood.Served)/t.Last.Seconds(), float64(flood.Start.ValueAtQuantile(99))/1000, t.over(n))
+		}
+	}
+	return nil
+}
+
+func (t Table) over(shards int) string {
+	if shards > t.Cores {
+		return "  more shards than cores"
+	}
+	return ""
+}
+
+// Memory measures over an in-memory transport and without the owners' door: what is left is ours. The CPU time is
+// that of this whole process, nodes and asking included.
+func (t Table) Memory(ctx context.Context, out io.Writer) error {
+	fmt.Fprintf(out, "in memory, %d nodes, closed loop of 400 asks, %d cores shared with nodes and asking\n", t.Nodes, t.Cores)
+	fmt.Fprintf(out, "%6s %-9s %10s %10s %9s %9s %9s %9s\n", "shards", "share", "served a s", "cpu us", "start p50", "p99",
+		"p99.9", "declined")
+	for _, way := range Ways {
+		for _, n := range t.Counts {
+			if n == 1 && way != Ways[0] {
+				continue
+			}
+			v, err := Check(ctx, Trial{Shards: n, Connect: way, Asks: t.Asks, Window: 400, Nodes: t.Nodes, Seed: 1})
+			if err != nil {
+				return err
+			}
+			q := func(p float64) float64 { return float64(v.Start.ValueAtQuantile(p)) / 1000 }
+			fmt.Fprintf(out, "%6d %-9s %10.0f %10.1f %9.2f %9.2f %9.2f %9d%s\n", n, way, float64(v.Served)/v.Took.Seconds(),
+				float64(v.CPU.Microseconds())/float64(max(1, v.Served)), q(50), q(99), q(99.9), v.Declined, t.over(n))
+		}
+	}
+	return nil
+}
+
+// Million is the check of a great many allocations at several counts of shards; broken counts all that went wrong.
+func Million(ctx context.Context, out io.Writer, asks int, counts []int, seed uint64) (broken int, err error) {
+	var sum Verdict
+	fmt.Fprintf(out, "%d asks each, shards that panic and stand still, a tenth of the keys asked for on two connections\n", asks)
+	fmt.Fprintf(out, "%6s %-9s %9s %9s %9s %7s %6s %6s %9s\n", "shards", "share", "asks", "served", "declined", "failed", "harms",
+		"lives", "seconds")
+	for i, n := range counts {
+		way := Ways[1-i%2]
+		v, err := Check(ctx, Trial{Shards: n, Connect: way, Asks: asks, Window: 1200, Nodes: 16, Twice: 0.1,
+			Harm: 1500 * time.Millisecond, Seed: seed + uint64(i)})
+		if err != nil {
+			return 0, err
+		}
+		fmt.Fprintf(out, "%6d %-9s %9d %9d %9d %7d %6d %6d %9.0f\n", n, way, v.Asks, v.Served, v.Declined, v.Failed, v.Harms,
+			v.Lives, v.Took.Seconds())
+		sum.Duplicates += v.Duplicates
+		sum.Seconds += v.Seconds
+		sum.Unanswered += v.Unanswered
+		sum.Twice += v.Twice
+		sum.Stale += v.Stale
+	}
+	fmt.Fprintf(out, "answers given twice: %d\ntries of an older epoch: %d\nduplicate tries: %d\nsecond starts of run-once: %d\nunanswered: %d\n",
+		sum.Twice, sum.Stale, sum.Duplicates, sum.Seconds, sum.Unanswered)
+	return sum.Twice + sum.Stale + sum.Duplicates + sum.Seconds + sum.Unanswered, nil
+}
--- a/internal/serve/link.go
+++ b/internal/serve/link.go
@@ -132,9 +132,13 @@
 
 // greet connects and exchanges greetings within the protocol's time.
 func (s *server) greet(ctx context.Context, nd uint32, address, name string) (g greeted, life uint64, err error) {
-	d := net.Dialer{Timeout: dialFor, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second,
-		Interval: 2 * time.Second, Count: 3}}
-	conn, err := d.DialContext(ctx, "tcp", address)
+	dial := s.who.Dial
+	if dial == nil {
+		d := net.Dialer{Timeout: dialFor, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second,
+			Interval: 2 * time.Second, Count: 3}}
+		dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
+	}
+	conn, err := dial(ctx, address)
 	if err != nil {
 		return g, 0, err
 	}
--- a/internal/serve/list.go
+++ b/internal/serve/list.go
@@ -67,8 +67,8 @@
 	all := make([]listEntry, 0, len(entries))
 	skipped := 0
 	for _, en := range entries {
-		if s.who.plant.news != nil {
-			s.who.plant.news(&en)
+		if s.who.Plant.News != nil {
+			s.who.Plant.News(&en)
 		}
 		zone, kind := slices.Index(s.who.Place.Zones, en.Zone), slices.Index(s.who.Place.Kinds, en.Kind)
 		if en.Avail != 0 && (zone < 0 || kind < 0) {
--- a/internal/serve/owners.go
+++ b/internal/serve/owners.go
@@ -27,12 +27,20 @@
 	s    *server
 	id   uint32
 	srv  *jrpc2.Server
+	sink Sink        // instead of a connection, if it is not nil
 	news chan []byte // bodies of notifications
 	gone chan struct{}
 	once sync.Once
 
 	mu   sync.Mutex
-	asks map[uint64]int // by ref: the shard of what is open or runs
+	asks map[uint64]asked // by ref: what is open or runs
+}
+
+// asked is where an ask is. It is answered once, whoever tries to.
+type asked struct {
+	shard    int
+	expiry   float64
+	answered bool
 }
 
 // Words of the protocol for an allocation's end.
@@ -58,7 +66,7 @@
 		full := len(s.owners) >= s.who.Place.Owners
 		s.ownerIDs++
 		o := &owner{s: s, id: s.ownerIDs, news: make(chan []byte, s.who.Place.OwnerQueue), gone: make(chan struct{}),
-			asks: map[uint64]int{}}
+			asks: map[uint64]asked{}}
 		if !full {
 			s.owners[o.id] = o
 		}
@@ -116,22 +124,52 @@
 // note keeps which shard an ask is at; begin does so for a new one, and false tells that its ref is not free.
 func (o *owner) note(ref uint64, shard int) {
 	o.mu.Lock()
-	if _, ok := o.asks[ref]; ok {
-		o.asks[ref] = shard
+	if a, ok := o.asks[ref]; ok {
+		a.shard = shard
+		o.asks[ref] = a
 	}
 	o.mu.Unlock()
 }
 
-func (o *owner) begin(ref uint64) bool {
+func (o *owner) begin(ref uint64, expiry float64) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if _, ok := o.asks[ref]; ok {
 		return false
 	}
-	o.asks[ref] = -1
+	o.asks[ref] = asked{shard: -1, expiry: expiry}
 	return true
 }
 
+// settle notes an answer; false if there was one before.
+func (o *owner) settle(ref uint64, served bool) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a, ok := o.asks[ref]
+	if !ok || a.answered {
+		return false
+	}
+	if served {
+		a.answered = true
+		o.asks[ref] = a
+	} else {
+		delete(o.asks, ref)
+	}
+	return true
+}
+
+// unanswered gives the asks at a shard that nobody has answered and that expire before a time.
+func (o *owner) unanswered(shard int, before float64) (refs []uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for ref, a := range o.asks {
+		if a.shard == shard && !a.answered && a.expiry < before {
+			refs = append(refs, ref)
+		}
+	}
+	return refs
+}
+
 func (o *owner) end(ref uint64) {
 	o.mu.Lock()
 	delete(o.asks, ref)
@@ -157,8 +195,12 @@
 }
 
 func (o *owner) answer(ref uint64, answer engine.Answer, nd uint32, why string, holdOff float64) {
-	if answer != engine.Served {
-		o.end(ref)
+	if !o.settle(ref, answer == engine.Served) {
+		return
+	}
+	if o.sink != nil {
+		o.sink.Answer(ref, answer)
+		return
 	}
 	b := strconv.AppendUint(append(make([]byte, 0, 64), `{"ref":`...), ref, 10)
 	b = append(append(append(b, `,"answer":"`...), answer.String()...), '"')
@@ -176,6 +218,10 @@
 
 func (o *owner) over(ref uint64, verdict logic.Verdict, why logic.Reason) {
 	o.end(ref)
+	if o.sink != nil {
+		o.sink.Over(ref)
+		return
+	}
 	b := strconv.AppendUint(append(make([]byte, 0, 64), "o{\"ref\":"...), ref, 10)
 	b = append(append(append(b, `,"how":"`...), ends[verdict]...), '"')
 	if int(why) < len(reasons) && why > 0 {
@@ -285,7 +331,7 @@
 	if late := float64(time.Now().UnixMilli()) - ask.SentAt; ask.SentAt > 0 && late > 0 {
 		ask.Within -= late
 	}
-	if !o.begin(ask.Ref) {
+	if !o.begin(ask.Ref, o.s.clock.now()+ask.Within) {
 		return nil, jrpc2.Errorf(jrpc2.InvalidParams, "ref: %d is not over", ask.Ref)
 	}
 	name := ledger.Name{Tenant: tenant, Token: Token(ask.Tenant, ask.Key)}
@@ -329,13 +375,36 @@
 		o.answer(a.Ref, engine.Declined, 0, why, 0)
 		return
 	}
-	sh.tell(func(now float64) {
+	ok := sh.tell(func(now float64) {
 		err := sh.eng.Allocate(now, a.Owner, a.Ref, a.Job, name.Tenant, a.Service, name.Token, a.Cores, a.Memory,
 			a.Expiry-now, epoch)
 		if err != nil && !sh.fenced.Load() { // the door lets no ref in twice: it was moved here by a fence
 			o.answer(a.Ref, engine.Declined, 0, "open-already", 0)
 		}
 	})
+	if !ok && epoch == 0 { // the shard was fenced a moment ago; what was taken for it, its fence has answered or moved
+		o.answer(a.Ref, engine.Declined, 0, "shard-fenced", 0)
+	}
+}
+
+// second is an ask that has no entry of its own in the ledger.
+type second struct {
+	o   *owner
+	ref uint64
+}
+
+// secondAsks gives the asks at a shard, expiring before a time, that neither the ledger nor an answer accounts for
+// once all that the ledger holds is dealt with: asks for a key that another ask had brought there. Nothing was ever
+// tried for them.
+func (s *server) secondAsks(shard int, before float64) (all []second) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.owners {
+		for _, ref := range o.unanswered(shard, before) {
+			all = append(all, second{o, ref})
+		}
+	}
+	return all
 }
 
 func (o *owner) withdraw(_ context.Context, req *jrpc2.Request) (any, error) {
@@ -348,11 +417,11 @@
 	o.mu.Lock()
 	at, ok := o.asks[ask.Ref]
 	o.mu.Unlock()
-	if !ok || at < 0 {
+	if !ok || at.shard < 0 {
 		return nil, jrpc2.Errorf(jrpc2.InvalidParams, "ref: no ask %d", ask.Ref)
 	}
 	o.s.desk.Lock()
-	sh := o.s.shards[at]
+	sh := o.s.shards[at.shard]
 	o.s.desk.Unlock()
 	sh.tell(func(now float64) { _ = sh.eng.Withdraw(now, o.id, ask.Ref) }) // one that has just ended needs nothing
 	return true, nil
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -31,13 +31,19 @@
 	Log    zerolog.Logger
 	Ready  func(owners net.Addr) // called once when owners may connect
 
-	plant plant
+	Plant Plant
+
+	// Dial connects to a node, over TCP if it is nil.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Local is called once, if it is set, with a way to ask without a socket.
+	Local func(*Local)
 }
 
-// plant puts faults into a scheduler for tests of what must find them; the zero value puts none.
-type plant struct {
-	edge func(engine.Edge) engine.Edge
-	news func(*state.Entry)
+// Plant puts faults into a scheduler, for tests and experiments that must find them; the zero value puts none.
+type Plant struct {
+	Edge  func(engine.Edge) engine.Edge // wraps the effects of each shard's each life
+	News  func(*state.Entry)            // changes what the list tells
+	Trust bool                          // leave is given to any epoch
 }
 
 // Epoch is the zero of every scheduler's clock: all share it, as turns at cold nodes are told by it.
@@ -137,6 +143,7 @@
 		s.lives[sh.life] = sh
 	}
 	s.ledger = ledger.Table(place.Cluster.JobTypes, s.shards[place.Shards-1].life)
+	s.ledger.Trusted = who.Plant.Trust
 	s.dog = watch.New(s.clock.now(), place.Shards)
 	for _, sh := range s.shards {
 		s.lastListTo(sh)
@@ -149,10 +156,13 @@
 	s.goes(func() { s.listLoop(inner) })
 	s.goes(func() { s.accept(inner, door) })
 	s.goes(func() { s.saves(inner) })
-	s.goes(func() { s.watch(inner, time.Duration(watch.LookEach()*1e6)) })
+	s.goes(func() { s.watch(inner, time.Duration(min(watch.LookEach(), place.Margin/4)*1e6)) })
 	if who.Ready != nil {
 		who.Ready(door.Addr())
 	}
+	if who.Local != nil {
+		who.Local(&Local{s})
+	}
 	<-ctx.Done()
 	door.Close()
 	st := s.closeShards()
@@ -240,6 +250,38 @@
 	return s.folder.SaveList(text)
 }
 
+// Local asks without a socket, for measurements that leave the owners' door out.
+type Local struct{ s *server }
+
+// Sink hears what an owner hears. It must not block.
+type Sink interface {
+	Answer(ref uint64, answer engine.Answer)
+	Over(ref uint64)
+}
+
+// Owner connects an owner.
+func (l *Local) Owner(sink Sink) *LocalOwner {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	l.s.ownerIDs++
+	o := &owner{s: l.s, id: l.s.ownerIDs, sink: sink, gone: make(chan struct{}), asks: map[uint64]asked{}}
+	l.s.owners[o.id] = o
+	return &LocalOwner{o}
+}
+
+// LocalOwner is an owner without a socket.
+type LocalOwner struct{ o *owner }
+
+// Allocate asks as the owners' door does; false if the ref is not free.
+func (l *LocalOwner) Allocate(ref uint64, tenant, jobType int, service, token uint64, cores, memory, within float64) bool {
+	if !l.o.begin(ref, l.o.s.clock.now()+within) {
+		return false
+	}
+	l.o.s.allocate(l.o, ledger.Name{Tenant: tenant, Token: token}, ledger.Ask{Owner: l.o.id, Ref: ref, Job: jobType,
+		Service: service, Cores: cores, Memory: memory}, within)
+	return true
+}
+
 // owner gives an owner that is still connected.
 func (s *server) owner(id uint32) *owner {
 	s.mu.Lock()
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -91,7 +91,7 @@
 }
 
 // start runs a scheduler with an owner at it.
-func (s *stage) start(i int, place site.Place, p plant) {
+func (s *stage) start(i int, place site.Place, p Plant) {
 	place.ListAddress = s.list.Address()
 	name, ready := fmt.Sprintf("s%d", i), make(chan string, 1)
 	s.w.Trace.Add(audit.Record{At: s.w.Now(), Kind: audit.Born, Sched: name})
@@ -100,7 +100,7 @@
 	go func() {
 		defer s.ran.Done()
 		err := Run(s.ctx, Scheduler{Place: &place, Name: name, Index: i, Folder: folder, Seed: uint64(i + 1),
-			Log: zerolog.Nop(), Ready: func(a net.Addr) { ready <- a.String() }, plant: p})
+			Log: zerolog.Nop(), Ready: func(a net.Addr) { ready <- a.String() }, Plant: p})
 		if err != nil {
 			s.t.Error(err)
 		}
@@ -166,12 +166,12 @@
 	}
 }
 
-func offering(f func(e engine.Edge, nd uint32, ticket uint64, try uint8, job int, send func(nd uint32, try uint8))) plant {
-	return plant{edge: func(e engine.Edge) engine.Edge { return planted{Edge: e, offer: f} }}
+func offering(f func(e engine.Edge, nd uint32, ticket uint64, try uint8, job int, send func(nd uint32, try uint8))) Plant {
+	return Plant{Edge: func(e engine.Edge) engine.Edge { return planted{Edge: e, offer: f} }}
 }
 
-func answering(f func(e engine.Edge, owner uint32, ref uint64, answer engine.Answer, nd uint32)) plant {
-	return plant{edge: func(e engine.Edge) engine.Edge { return planted{Edge: e, answer: f} }}
+func answering(f func(e engine.Edge, owner uint32, ref uint64, answer engine.Answer, nd uint32)) Plant {
+	return Plant{Edge: func(e engine.Edge) engine.Edge { return planted{Edge: e, answer: f} }}
 }
 
 // TestPlanted puts faults into schedulers, two for each rule at least; the auditor must name the rule. Without a
@@ -205,29 +205,29 @@
 		cold    bool
 		trouble func(s *stage)
 		place   func(p *site.Place)
-		plant   plant
+		Plant   Plant
 	}{
 		{name: "none", jobs: "0012"},
 		{name: "none, answers lost", jobs: "0012", trouble: mute},
 		{name: "none, a drain", jobs: "0012", trouble: drain},
 		{name: "none, all cold", jobs: "0012", cold: true},
-		{name: "an answer given twice", rule: 1, jobs: "0", plant: answering(
+		{name: "an answer given twice", rule: 1, jobs: "0", Plant: answering(
 			func(e engine.Edge, owner uint32, ref uint64, a engine.Answer, nd uint32) {
 				e.Answer(owner, ref, a, nd, "", 0)
 				e.Answer(owner, ref, a, nd, "", 0)
 			})},
-		{name: "no answer", rule: 1, jobs: "0", plant: answering(
+		{name: "no answer", rule: 1, jobs: "0", Plant: answering(
 			func(e engine.Edge, owner uint32, ref uint64, a engine.Answer, nd uint32) {
 				if ref%5 != 0 {
 					e.Answer(owner, ref, a, nd, "", 0)
 				}
 			})},
-		{name: "a second try while one is out", rule: 2, jobs: "0", plant: offering(
+		{name: "a second try while one is out", rule: 2, jobs: "0", Plant: offering(
 			func(_ engine.Edge, nd uint32, _ uint64, try uint8, _ int, send func(uint32, uint8)) {
 				send(nd, try)
 				send(nd%4+1, try+1)
 			})},
-		{name: "a run-once one declined that may have run", rule: 2, jobs: "2", trouble: mute, plant: answering(
+		{name: "a run-once one declined that may have run", rule: 2, jobs: "2", trouble: mute, Plant: answering(
 			func(e engine.Edge, owner uint32, ref uint64, a engine.Answer, nd uint32) {
 				if a == engine.Failed {
 					a = engine.Declined
@@ -240,24 +240,24 @@
 		{name: "tokens taken for harmless", rule: 2, jobs: "1", trouble: mute, place: func(p *site.Place) {
 			p.Cluster.JobTypes[1].Effect = 0
 		}},
-		{name: "a late send to a draining node", rule: 3, jobs: "0", trouble: drain, plant: offering(
+		{name: "a late send to a draining node", rule: 3, jobs: "0", trouble: drain, Plant: offering(
 			func(_ engine.Edge, nd uint32, _ uint64, try uint8, _ int, send func(uint32, uint8)) {
 				if time.Since(lastLate) > 300*time.Millisecond { // each costs the connection, as the engine knows nothing of it
 					nd, lastLate = 1, time.Now()
 				}
 				send(nd, try)
 			})},
-		{name: "news of a drain lost", rule: 3, jobs: "0", trouble: drain, plant: plant{news: func(en *state.Entry) {
+		{name: "news of a drain lost", rule: 3, jobs: "0", trouble: drain, Plant: Plant{News: func(en *state.Entry) {
 			if en.Avail == 2 {
 				en.Avail = 1
 			}
 		}}},
-		{name: "too many offers to a cold node", rule: 4, jobs: "0", cold: true, plant: offering(
+		{name: "too many offers to a cold node", rule: 4, jobs: "0", cold: true, Plant: offering(
 			func(_ engine.Edge, _ uint32, _ uint64, try uint8, _ int, send func(uint32, uint8)) { send(1, try) })},
 		{name: "more expected of a cold node than it bears", rule: 4, jobs: "0", cold: true, place: func(p *site.Place) {
 			p.Cluster.ColdBears, p.Cluster.KindCores = 500, []float64{320}
 		}},
-		{name: "a service all at one node", rule: 5, jobs: "1", plant: offering(
+		{name: "a service all at one node", rule: 5, jobs: "1", Plant: offering(
 			func(_ engine.Edge, _ uint32, _ uint64, try uint8, _ int, send func(uint32, uint8)) { send(2, try) })},
 		{name: "a most that is too high", rule: 5, jobs: "1", place: func(p *site.Place) {
 			p.Cluster.JobTypes[1].Most = 50
@@ -273,7 +273,7 @@
 				c.place(&place)
 				s.place.Expiry = place.Expiry
 			}
-			s.start(0, place, c.plant)
+			s.start(0, place, c.Plant)
 			s.load(2200, 50, c.jobs) // a scheduler without a last list paces all nodes at first
 			if c.trouble != nil {
 				c.trouble(s)
@@ -362,7 +362,7 @@
 		s.list.AddGhost(uint32(200+i), closed.Addr().String(), "west", "west", "plain")
 	}
 	closed.Close()
-	s.start(0, *s.place, plant{})
+	s.start(0, *s.place, Plant{})
 	s.load(2500, 40, "0012")
 	breaks, served := s.breaks()
 	if len(breaks) > 0 || served < 30 {
@@ -379,7 +379,7 @@
 func TestManyConnections(t *testing.T) {
 	const many = 1500
 	s := newStage(t, 1, many, false)
-	s.start(0, *s.place, plant{})
+	s.start(0, *s.place, Plant{})
 	for range 1200 {
 		linked := 0
 		s.w.At(func(float64) {
@@ -398,8 +398,8 @@
 // TestTwoSchedulers shares cold nodes between two schedulers.
 func TestTwoSchedulers(t *testing.T) {
 	s := newStage(t, 2, 4, true)
-	s.start(0, *s.place, plant{})
-	s.start(1, *s.place, plant{})
+	s.start(0, *s.place, Plant{})
+	s.start(1, *s.place, Plant{})
 	s.load(2500, 80, "0012")
 	if breaks, served := s.breaks(); len(breaks) > 0 || served < 40 {
 		t.Errorf("%d served, breaks %v", served, breaks)
--- a/internal/serve/shard.go
+++ b/internal/serve/shard.go
@@ -9,6 +9,7 @@
 
 	"ravenpond/internal/decide/admit"
 	"ravenpond/internal/decide/ledger"
+	"ravenpond/internal/decide/watch"
 	"ravenpond/internal/engine"
 	"ravenpond/internal/site"
 	"ravenpond/internal/state"
@@ -45,8 +46,8 @@
 	now := s.clock.now()
 	sh.beat.Store(math.Float64bits(now))
 	var out engine.Edge = edge{sh}
-	if s.who.plant.edge != nil {
-		out = s.who.plant.edge(out)
+	if s.who.Plant.Edge != nil {
+		out = s.who.Plant.Edge(out)
 	}
 	sh.eng = engine.New(out, now, engine.Terms{Cluster: &cl, Shares: place.Shares,
 		Open: (place.Open + place.Shards - 1) / place.Shards * 2, Margin: place.Margin, Settle: place.Settle,
@@ -267,14 +268,12 @@
 		}
 		n[o.Fate]++
 	}
+	s.answerFor(orphans, "shard-fenced")
+	seconds := s.secondAsks(sh.index, math.Inf(1))
 	s.desk.Unlock()
 	sh.inbox.close()
-	for _, o := range orphans {
-		if o.Fate == ledger.Declines {
-			s.answer(o.Entry.Owner, o.Entry.Ref, engine.Declined, 0, "shard-fenced", 0)
-		} else if o.Fate == ledger.Fails {
-			s.answer(o.Entry.Owner, o.Entry.Ref, engine.Failed, 0, "shard-fenced", 0)
-		}
+	for _, x := range seconds {
+		x.o.answer(x.ref, engine.Declined, 0, "shard-fenced", 0)
 	}
 	for _, m := range moves {
 		a, name := m.o.Entry.Ask, m.o.Name
@@ -291,6 +290,19 @@
 		Float64("ms", s.clock.now()-now).Msg("fenced: " + why)
 }
 
+// answerFor gives the final answers that a shard can't give, as far as their time is not up.
+func (s *server) answerFor(orphans []ledger.Orphan, why string) {
+	for _, o := range orphans {
+		switch {
+		case s.clock.now() >= o.Entry.Expiry:
+		case o.Fate == ledger.Declines:
+			s.answer(o.Entry.Owner, o.Entry.Ref, engine.Declined, 0, why, 0)
+		case o.Fate == ledger.Fails:
+			s.answer(o.Entry.Owner, o.Entry.Ref, engine.Failed, 0, why, 0)
+		}
+	}
+}
+
 // restFor is how long a service whose tasks must be spread rests after its shard was fenced: the time in which the
 // shard's next life starts and hears from the nodes what runs.
 const restFor = 2500
@@ -316,6 +328,15 @@
 		for _, i := range fence {
 			beats[i] = now - beats[i]
 		}
+		for i := range s.shards {
+			if watch.Quiet(now, beats[i]) {
+				within := s.who.Place.Margin * 3 / 4
+				s.answerFor(s.ledger.Overdue(now, i, within), "shard-quiet")
+				for _, x := range s.secondAsks(i, now+within) {
+					x.o.answer(x.ref, engine.Declined, 0, "shard-quiet", 0)
+				}
+			}
+		}
 		s.ledger.Forget(now)
 		for service, until := range s.resting {
 			if now > until {
--- /dev/null
+++ b/internal/serve/shard_test.go
@@ -0,0 +1,218 @@
+package serve
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ravenpond/internal/engine"
+	"ravenpond/internal/proto/owners"
+	"ravenpond/internal/site"
+
+	"context"
+
+	"github.com/creachadair/jrpc2"
+)
+
+// TestFencedShard lets one of three shards panic or stand still; the others go on, and no rule breaks.
+func TestFencedShard(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		share site.Connections
+		harm  func()
+	}{
+		{"panics, shared connections", site.Shared, func() { panic("planted") }},
+		{"panics, own connections", site.Own, func() { panic("planted") }},
+		{"panics, informed", site.Informed, func() { panic("planted") }},
+		{"stands still, shared connections", site.Shared, func() { time.Sleep(4 * time.Second) }},
+		{"stands still, own connections", site.Own, func() { time.Sleep(4 * time.Second) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newStage(t, 1, 8, false)
+			place := *s.place
+			place.Shards, place.Connections = 3, c.share
+			var offers, lives atomic.Int32
+			s.start(0, place, Plant{Edge: func(e engine.Edge) engine.Edge {
+				if lives.Add(1) != 2 { // the second shard's first life alone
+					return e
+				}
+				return planted{Edge: e, offer: func(_ engine.Edge, nd uint32, _ uint64, try uint8, _ int, send func(uint32, uint8)) {
+					send(nd, try)
+					if offers.Add(1) == 25 {
+						c.harm()
+					}
+				}}
+			}})
+			s.load(6500, 60, "0012")
+			breaks, served := s.breaks()
+			if len(breaks) > 0 || served < 200 {
+				t.Errorf("%d served, breaks %v", served, breaks[:min(4, len(breaks))])
+			}
+			if offers.Load() < 25 || lives.Load() != 4 {
+				t.Errorf("%d offers before the harm, %d lives of shards, want 4", offers.Load(), lives.Load())
+			}
+		})
+	}
+}
+
+// client is a bare owner.
+type client struct {
+	*jrpc2.Client
+	mu   sync.Mutex
+	news []string
+}
+
+func connect(t *testing.T, addr string) *client {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &client{}
+	c.Client = jrpc2.NewClient(owners.NewChannel(conn), &jrpc2.ClientOptions{OnNotify: func(r *jrpc2.Request) {
+		c.mu.Lock()
+		c.news = append(c.news, r.Method()+r.ParamString())
+		c.mu.Unlock()
+	}})
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func (c *client) ask(ref uint64, job, key string) error {
+	_, err := c.Call(context.Background(), "allocate", map[string]any{"ref": ref, "tenant": "t", "key": key,
+		"job-type": job, "service": "s" + key, "cores": 1, "memory": 1})
+	return err
+}
+
+func (c *client) heard() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.news...)
+}
+
+// TestSameKey submits keys on two connections at the same moment, withdraws some as they are offered, and comes back
+// on another connection: each ask has one answer, and no run-once key starts twice.
+func TestSameKey(t *testing.T) {
+	s := newStage(t, 1, 8, false)
+	place := *s.place
+	place.Shards = 4
+	s.start(0, place, Plant{})
+	addr := s.owner[0].Find()
+	time.Sleep(1800 * time.Millisecond)
+	a, b := connect(t, addr), connect(t, addr)
+	const many = 60
+	var both sync.WaitGroup
+	for _, c := range []*client{a, b} {
+		both.Go(func() {
+			for i := range uint64(many) {
+				if err := c.ask(i+1, "once", fmt.Sprint("key", i)); err != nil {
+					t.Error(err)
+				}
+				if i%5 == 0 {
+					_, _ = c.Call(context.Background(), "withdraw", map[string]any{"ref": i + 1}) // may be answered already
+				}
+			}
+		})
+	}
+	both.Wait()
+	time.Sleep(1700 * time.Millisecond)
+	for _, c := range []*client{a, b} {
+		answers := map[string]int{}
+		for _, n := range c.heard() {
+			var ref int
+			if _, err := fmt.Sscanf(n, `answer{"ref":%d`, &ref); err == nil {
+				answers[fmt.Sprint(ref)]++
+			}
+		}
+		for i := range many {
+			if n := answers[fmt.Sprint(i+1)]; n != 1 {
+				t.Errorf("ask %d has %d answers", i+1, n)
+			}
+		}
+	}
+	a.Close() // what runs is found again by whoever asks for its key
+	c := connect(t, addr)
+	for i := range uint64(many) {
+		if err := c.ask(i+1, "once", fmt.Sprint("key", i)); err != nil {
+			t.Error(err)
+		}
+	}
+	breaks, _ := s.breaks()
+	if len(breaks) > 0 {
+		t.Error(breaks)
+	}
+	starts := map[uint64]int{}
+	ended := map[uint64]bool{}
+	for _, r := range s.w.Trace.Records() {
+		switch r.Kind.String() {
+		case "ran":
+			if starts[r.Ticket]++; starts[r.Ticket] > 1 {
+				t.Errorf("ticket %x ran twice", r.Ticket)
+			}
+		case "concluded":
+			ended[r.Ticket] = true
+		}
+	}
+	t.Run("faults", func(t *testing.T) {
+		for name, call := range map[string]func() error{
+			"ref not over":     func() error { _ = c.ask(900, "free", "x"); return c.ask(900, "free", "y") },
+			"unknown job type": func() error { return c.ask(901, "none", "x") },
+			"no key":           func() error { return c.ask(902, "free", "") },
+			"no ref":           func() error { return c.ask(0, "free", "x") },
+			"unknown method":   func() error { _, err := c.Call(context.Background(), "shutdown", nil); return err },
+			"unknown field": func() error {
+				_, err := c.Call(context.Background(), "withdraw", map[string]any{"ref": 1, "x": 2})
+				return err
+			},
+			"nothing to withdraw": func() error {
+				_, err := c.Call(context.Background(), "withdraw", map[string]any{"ref": 12345})
+				return err
+			},
+		} {
+			if call() == nil {
+				t.Errorf("%s: no error", name)
+			}
+		}
+	})
+}
+
+func BenchmarkInbox(b *testing.B) {
+	ev := event(func(float64) {})
+	b.Run("swapped slices", func(b *testing.B) {
+		in := newInbox()
+		stop := make(chan struct{})
+		go func() {
+			var spare []event
+			for {
+				select {
+				case <-stop:
+					return
+				case <-in.wake:
+					spare = in.take(spare)
+				}
+			}
+		}()
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				in.put(1, ev)
+			}
+		})
+		close(stop)
+	})
+	b.Run("channel", func(b *testing.B) {
+		ch := make(chan event, 4096)
+		go func() {
+			for range ch {
+			}
+		}()
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				ch <- ev
+			}
+		})
+		close(ch)
+	})
+}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -219,6 +219,7 @@
 			p.ended = true
 			return
 		}
+		n.Machine.Tick(now) // what is due is said before the new connection can hear it
 		if old := n.conns[p.sched]; old != nil {
 			old.end("replaced by a later connection")
 			n.rec(audit.Unlinked, p.sched, 0, 0, "")
@@ -254,8 +255,7 @@
 
 // tell queues all that the node holds for the scheduler; under the world's lock.
 func (p *peer) tell(now float64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	var b []byte
 	p.n.Machine.Held(now, p.sched, func(ticket uint64, try uint8, runs bool, job, tenant int, service, token uint64,
 		cores, memory float64) {
 		state := 0
@@ -263,17 +263,13 @@
 			state = 1
 			p.n.rec(audit.Confirmed, p.sched, ticket, try, "")
 		}
-		p.queue = node.AppendHeld(p.queue, ticket, try, state, job, tenant, service, token, cores, memory)
+		b = node.AppendHeld(b, ticket, try, state, job, tenant, service, token, cores, memory)
 	})
-	p.queue = node.AppendHeldAll(p.queue)
+	p.add(func(queue []byte) []byte { return node.AppendHeldAll(append(queue, b...)) })
 }
 
 // Tell tells again all that is held.
-func (p *peer) Tell() error {
-	err := p.event(p.tell)
-	p.rouse()
-	return err
-}
+func (p *peer) Tell() error { return p.event(p.tell) }
 
 func (p *peer) write() {
 	for {
