Drains kept in a store that survives crashes; windows in and out as iCalendar

A drain that was begun must not be forgotten or begun twice. bbolt store with a version and whole checks at opening; torn, foreign and later stores are refused. iCalendar codec with own properties, time zones kept.

--- /dev/null
+++ b/internal/proto/ics/ics_test.go
@@ -0,0 +1,77 @@
+package ics
+
+import (
+	"bytes"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"ravenpond/internal/decide/calendar"
+)
+
+func TestRoundTrip(t *testing.T) {
+	zone, err := time.LoadLocation("Europe/Berlin")
+	if err != nil {
+		t.Skip("no time zones on this machine")
+	}
+	start := time.Date(2026, 3, 28, 2, 30, 0, 0, zone)
+	in := calendar.Calendar{Windows: []calendar.Window{
+		{ID: "weekly", Reach: calendar.Zone, Place: "quay", Start: start, Last: 2 * time.Hour, Rule: "FREQ=WEEKLY;COUNT=5",
+			Lead: 10 * time.Minute, Slack: 3 * time.Hour, Priority: 4, Added: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
+			End: calendar.Hold, Except: []time.Time{start.AddDate(0, 0, 7)}},
+		{ID: "once", Place: "7", Start: time.Date(2026, 4, 1, 0, 0, 0, 0, time.UTC), Last: time.Hour},
+	}, Protected: []calendar.Protected{{ID: "contest, \"final\"", Start: start, Last: time.Hour, Lead: time.Hour, Tail: time.Minute,
+		Rule: "FREQ=YEARLY"}}}
+	var b bytes.Buffer
+	if err := Encode(&b, &in, start); err != nil {
+		t.Fatal(err)
+	}
+	out, err := Decode(&b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(out.Windows) != 2 || len(out.Protected) != 1 {
+		t.Fatalf("%+v", out)
+	}
+	for i := range in.Windows {
+		x, y := in.Windows[i], out.Windows[i]
+		if !x.Start.Equal(y.Start) || x.Start.Location().String() != y.Start.Location().String() || len(x.Except) != len(y.Except) ||
+			len(x.Except) > 0 && !x.Except[0].Equal(y.Except[0]) || !x.Added.Equal(y.Added) {
+			t.Errorf("times: %+v, %+v", x, y)
+		}
+		x.Start, y.Start, x.Except, y.Except, x.Added, y.Added = time.Time{}, time.Time{}, nil, nil, time.Time{}, time.Time{}
+		if !reflect.DeepEqual(x, y) {
+			t.Errorf("%+v\n%+v", x, y)
+		}
+	}
+	if x, y := in.Protected[0], out.Protected[0]; x.ID != y.ID || x.Lead != y.Lead || x.Tail != y.Tail || x.Rule != y.Rule {
+		t.Errorf("%+v\n%+v", x, y)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	event := "BEGIN:VCALENDAR\r\nVERSION:2.0\r\nPRODID:x\r\nBEGIN:VEVENT\r\nUID:a\r\nDTSTAMP:20260101T000000Z\r\nDTSTART:20260301T100000Z\r\n" +
+		"DURATION:PT1H\r\nX-RAVENPOND-PLACE:7\r\nEND:VEVENT\r\nEND:VCALENDAR\r\n"
+	if c, err := Decode(strings.NewReader(event)); err != nil || len(c.Windows) != 1 || c.Windows[0].Last != time.Hour {
+		t.Fatalf("%+v, %v", c, err)
+	}
+	if c, err := Decode(strings.NewReader(" \n")); err != nil || len(c.Windows) != 0 {
+		t.Errorf("an empty one: %+v, %v", c, err)
+	}
+	for _, c := range []struct{ name, old, new, fault string }{
+		{"not a calendar", "BEGIN:VCALENDAR", "HELLO", "calendar"},
+		{"no length", "DURATION:PT1H\r\n", "", "impossible length"},
+		{"bad length", "PT1H", "an hour", "DURATION"},
+		{"unknown zone", "DTSTART:20260301T100000Z", "DTSTART;TZID=Nowhere/Here:20260301T100000", "Nowhere/Here"},
+		{"unknown reach", "X-RAVENPOND-PLACE:7", "X-RAVENPOND-PLACE:7\r\nX-RAVENPOND-REACH:town", "one of node, cell, zone"},
+		{"bad slack", "X-RAVENPOND-PLACE:7", "X-RAVENPOND-PLACE:7\r\nX-RAVENPOND-SLACK:some", "X-RAVENPOND-SLACK"},
+		{"no place", "X-RAVENPOND-PLACE:7\r\n", "", "no place"},
+		{"bad rule", "DURATION", "RRULE:FREQ=NEVER\r\nDURATION", "rule"},
+		{"cut off", "END:VEVENT\r\nEND:VCALENDAR\r\n", "", "calendar"},
+	} {
+		if _, err := Decode(strings.NewReader(strings.Replace(event, c.old, c.new, 1))); err == nil || !strings.Contains(err.Error(), c.fault) {
+			t.Errorf("%s: %v, want %q", c.name, err, c.fault)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/drains/drains.go
@@ -0,0 +1,317 @@
+// Package drains keeps maintenance windows and what has become of them in a store that survives crashes: a drain
+// that was begun is not forgotten and not begun twice, wherever the process is killed.
+package drains
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
+
+	"ravenpond/internal/decide/calendar"
+	"ravenpond/internal/proto/ics"
+)
+
+// Format is the version of the store; one written by a later version is refused.
+const Format = 1
+
+// Errors of opening a store.
+var (
+	ErrDamaged = errors.New("store is damaged")
+	ErrNewer   = errors.New("store was written by a later version")
+	ErrHeld    = errors.New("store is held by another process")
+	ErrNone    = errors.New("no such window")
+)
+
+var (
+	metaBucket  = []byte("meta")
+	eventBucket = []byte("events")
+	begunBucket = []byte("begun")
+	formatKey   = []byte("format")
+)
+
+// Stage is how far a drain has come. It only grows.
+type Stage uint8
+
+const (
+	Opened    Stage = iota + 1 // decided and on the disk; nobody may know yet
+	Announced                  // the shards and the list were told
+	Emptied                    // nothing is left on its nodes
+	Closed                     // its nodes are back
+)
+
+func (s Stage) String() string { return [...]string{"", "opened", "announced", "emptied", "closed"}[s] }
+
+// Begun is a drain that was begun, as it was decided then: a later change of the calendar or the fleet does not
+// change it.
+type Begun struct {
+	Verdict calendar.Verdict
+	Stage   Stage
+	At      map[Stage]time.Time
+}
+
+// Store is the store of one scheduler process.
+type Store struct {
+	db   *bbolt.DB
+	path string
+}
+
+// Open opens the store in a folder, or makes it. A damaged or later one is refused, not guessed at.
+func Open(folder string) (*Store, error) {
+	path := filepath.Join(folder, "drains.db")
+	if err := os.MkdirAll(folder, 0o750); err != nil {
+		return nil, fmt.Errorf("drains: %w", err)
+	}
+	db, err := bbolt.Open(path, 0o640, &bbolt.Options{Timeout: 200 * time.Millisecond})
+	switch {
+	case errors.Is(err, bolterrors.ErrTimeout):
+		return nil, fmt.Errorf("%s: %w", path, ErrHeld)
+	case errors.Is(err, bolterrors.ErrVersionMismatch):
+		return nil, fmt.Errorf("%s: %w", path, ErrNewer)
+	case err != nil:
+		return nil, fmt.Errorf("%s: %w: %w", path, ErrDamaged, err)
+	}
+	s := &Store{db, path}
+	if err := s.verify(); err != nil {
+		return nil, errors.Join(fmt.Errorf("%s: %w", path, err), db.Close())
+	}
+	return s, nil
+}
+
+// verify checks pages, version and every record.
+func (s *Store) verify() (err error) {
+	defer func() { // the library panics on pages that make no sense
+		if p := recover(); p != nil {
+			err = fmt.Errorf("%w: %v", ErrDamaged, p)
+		}
+	}()
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		for fault := range tx.Check() {
+			return fmt.Errorf("%w: %w", ErrDamaged, fault)
+		}
+		meta, err := tx.CreateBucketIfNotExists(metaBucket)
+		if err != nil {
+			return err
+		}
+		if v := meta.Get(formatKey); v == nil {
+			if err := meta.Put(formatKey, []byte{Format}); err != nil {
+				return err
+			}
+		} else if len(v) != 1 {
+			return ErrDamaged
+		} else if v[0] > Format {
+			return fmt.Errorf("format %d, this program reads up to %d: %w", v[0], Format, ErrNewer)
+		}
+		for _, name := range [][]byte{eventBucket, begunBucket} {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return err
+			}
+		}
+		if _, err := calendarOf(tx); err != nil {
+			return fmt.Errorf("%w: %w", ErrDamaged, err)
+		}
+		if _, err := begunOf(tx); err != nil {
+			return fmt.Errorf("%w: %w", ErrDamaged, err)
+		}
+		return nil
+	})
+}
+
+// Close closes the store.
+func (s *Store) Close() error { return s.db.Close() }
+
+// Calendar gives all windows and protected times.
+func (s *Store) Calendar() (c *calendar.Calendar, err error) {
+	err = s.db.View(func(tx *bbolt.Tx) error {
+		c, err = calendarOf(tx)
+		return err
+	})
+	return c, err
+}
+
+func calendarOf(tx *bbolt.Tx) (*calendar.Calendar, error) {
+	all := &calendar.Calendar{}
+	err := tx.Bucket(eventBucket).ForEach(func(_, text []byte) error {
+		c, err := ics.Decode(bytes.NewReader(text))
+		if err != nil {
+			return err
+		}
+		all.Windows = append(all.Windows, c.Windows...)
+		all.Protected = append(all.Protected, c.Protected...)
+		return nil
+	})
+	return all, err
+}
+
+// Add puts windows and protected times into the store, all or none. One of a name that is there replaces it.
+func (s *Store) Add(c *calendar.Calendar, now time.Time) error {
+	if err := c.Check(); err != nil {
+		return err
+	}
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		events := tx.Bucket(eventBucket)
+		put := func(id string, one calendar.Calendar) error {
+			var b bytes.Buffer
+			if err := ics.Encode(&b, &one, now); err != nil {
+				return fmt.Errorf("%s: %w", id, err)
+			}
+			return events.Put([]byte(id), b.Bytes())
+		}
+		for i := range c.Windows {
+			if err := put(c.Windows[i].ID, calendar.Calendar{Windows: c.Windows[i : i+1]}); err != nil {
+				return err
+			}
+		}
+		for i := range c.Protected {
+			if err := put(c.Protected[i].ID, calendar.Calendar{Protected: c.Protected[i : i+1]}); err != nil {
+				return err
+			}
+		}
+		all, err := calendarOf(tx)
+		if err != nil {
+			return err
+		}
+		return all.Check()
+	})
+}
+
+// Cancel takes a window out of the calendar, or one start of it if that is given. A drain that was begun goes on
+// until it is closed.
+func (s *Store) Cancel(id string, start, now time.Time) error {
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		events := tx.Bucket(eventBucket)
+		text := events.Get([]byte(id))
+		if text == nil {
+			return fmt.Errorf("%q: %w", id, ErrNone)
+		}
+		if start.IsZero() {
+			return events.Delete([]byte(id))
+		}
+		c, err := ics.Decode(bytes.NewReader(text))
+		if err != nil {
+			return err
+		}
+		if len(c.Windows) != 1 {
+			return fmt.Errorf("%q is a protected time, which has no starts to cancel", id)
+		}
+		c.Windows[0].Except = append(c.Windows[0].Except, start)
+		var b bytes.Buffer
+		if err := ics.Encode(&b, c, now); err != nil {
+			return err
+		}
+		return events.Put([]byte(id), b.Bytes())
+	})
+}
+
+// key names an occurrence: window and nominal start.
+func key(window string, nominal time.Time) []byte {
+	b := binary.BigEndian.AppendUint64(nil, uint64(nominal.Unix()))
+	return append(b, window...)
+}
+
+// Begin notes that a drain begins, on the disk before it returns. It is false, with what was decided then, if that
+// occurrence had begun before: nobody may begin it again.
+func (s *Store) Begin(v calendar.Verdict, now time.Time) (b Begun, fresh bool, err error) {
+	err = s.db.Update(func(tx *bbolt.Tx) error {
+		bucket, k := tx.Bucket(begunBucket), key(v.Window, v.Nominal)
+		if text := bucket.Get(k); text != nil {
+			return json.Unmarshal(text, &b)
+		}
+		b, fresh = Begun{Verdict: v, Stage: Opened, At: map[Stage]time.Time{Opened: now}}, true
+		return put(bucket, k, b)
+	})
+	return b, fresh && err == nil, err
+}
+
+func put(bucket *bbolt.Bucket, k []byte, b Begun) error {
+	text, err := json.Marshal(b)
+	if err != nil {
+		return err
+	}
+	return bucket.Put(k, text)
+}
+
+// Reach notes that a drain has come to a stage. A stage it has passed changes nothing.
+func (s *Store) Reach(window string, nominal time.Time, stage Stage, now time.Time) error {
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		bucket, k := tx.Bucket(begunBucket), key(window, nominal)
+		text := bucket.Get(k)
+		if text == nil {
+			return fmt.Errorf("%q of %s was not begun: %w", window, nominal.Format(time.RFC3339), ErrNone)
+		}
+		var b Begun
+		if err := json.Unmarshal(text, &b); err != nil {
+			return err
+		}
+		if stage <= b.Stage {
+			return nil
+		}
+		b.Stage, b.At[stage] = stage, now
+		return put(bucket, k, b)
+	})
+}
+
+// Open drains are those begun and not closed, in order of their nominal starts: what a restarted process goes on with.
+func (s *Store) Open() (open []Begun, err error) {
+	all, err := s.Begun()
+	for _, b := range all {
+		if b.Stage < Closed {
+			open = append(open, b)
+		}
+	}
+	return open, err
+}
+
+// Begun gives all drains that were ever begun and not forgotten.
+func (s *Store) Begun() (all []Begun, err error) {
+	err = s.db.View(func(tx *bbolt.Tx) error {
+		all, err = begunOf(tx)
+		return err
+	})
+	return all, err
+}
+
+func begunOf(tx *bbolt.Tx) (all []Begun, err error) {
+	err = tx.Bucket(begunBucket).ForEach(func(_, text []byte) error {
+		var b Begun
+		if err := json.Unmarshal(text, &b); err != nil {
+			return err
+		}
+		if b.Stage < Opened || b.Stage > Closed {
+			return fmt.Errorf("drain %q of unknown stage %d", b.Verdict.Window, b.Stage)
+		}
+		all = append(all, b)
+		return nil
+	})
+	return all, err
+}
+
+// Forget drops closed drains that ended before a time.
+func (s *Store) Forget(before time.Time) error {
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		all, err := begunOf(tx)
+		if err != nil {
+			return err
+		}
+		for _, b := range all {
+			if b.Stage == Closed && b.At[Closed].Before(before) {
+				if err := tx.Bucket(begunBucket).Delete(key(b.Verdict.Window, b.Verdict.Nominal)); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	})
+}
+
+// Snapshot writes the whole store, as it is at one instant, to a file that Open can read.
+func (s *Store) Snapshot(path string) error {
+	return s.db.View(func(tx *bbolt.Tx) error { return tx.CopyFile(path, 0o640) })
+}
--- /dev/null
+++ b/internal/state/drains/drains_test.go
@@ -0,0 +1,168 @@
+package drains
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"ravenpond/internal/decide/calendar"
+)
+
+var start = time.Date(2026, 3, 2, 10, 0, 0, 0, time.UTC)
+
+func window(id string) calendar.Window {
+	return calendar.Window{ID: id, Place: "7", Start: start, Last: time.Hour, Rule: "FREQ=DAILY"}
+}
+
+func open(t *testing.T, dir string) *Store {
+	t.Helper()
+	s, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+func TestBegunOnce(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir)
+	v := calendar.Verdict{Window: "a", Nominal: start, Nodes: []string{"7"}}
+	if _, fresh, err := s.Begin(v, start); !fresh || err != nil {
+		t.Fatal(fresh, err)
+	}
+	if err := s.Reach("a", start, Announced, start.Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	s = open(t, dir) // as after a kill: nothing is written at the close
+	v.Nodes = []string{"7", "8"}
+	b, fresh, err := s.Begin(v, start.Add(time.Minute))
+	if fresh || err != nil || b.Stage != Announced || len(b.Verdict.Nodes) != 1 {
+		t.Errorf("begun twice or changed: %+v, %t, %v", b, fresh, err)
+	}
+	if err := s.Reach("a", start, Opened, start); err != nil {
+		t.Fatal(err)
+	}
+	if all, err := s.Open(); err != nil || len(all) != 1 || all[0].Stage != Announced {
+		t.Errorf("%+v, %v", all, err)
+	}
+	if err := s.Reach("b", start, Closed, start); !errors.Is(err, ErrNone) {
+		t.Errorf("one that was never begun: %v", err)
+	}
+	if err := s.Reach("a", start, Closed, start.Add(time.Hour)); err != nil {
+		t.Fatal(err)
+	}
+	if all, _ := s.Open(); len(all) != 0 {
+		t.Errorf("closed, but open: %+v", all)
+	}
+	if err := s.Forget(start.Add(2 * time.Hour)); err != nil {
+		t.Fatal(err)
+	}
+	if all, _ := s.Begun(); len(all) != 0 {
+		t.Errorf("not forgotten: %+v", all)
+	}
+}
+
+func TestCalendar(t *testing.T) {
+	s := open(t, t.TempDir())
+	if err := s.Add(&calendar.Calendar{Windows: []calendar.Window{window("a"), window("b")}}, start); err != nil {
+		t.Fatal(err)
+	}
+	bad := window("c")
+	bad.Last = 0
+	if err := s.Add(&calendar.Calendar{Windows: []calendar.Window{window("d"), bad}}, start); err == nil {
+		t.Error("a bad window is taken")
+	}
+	if err := s.Cancel("a", time.Time{}, start); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Cancel("b", start.AddDate(0, 0, 1), start); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Cancel("z", time.Time{}, start); !errors.Is(err, ErrNone) {
+		t.Errorf("one that is not there: %v", err)
+	}
+	c, err := s.Calendar()
+	if err != nil || len(c.Windows) != 1 || c.Windows[0].ID != "b" || len(c.Windows[0].Except) != 1 {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
+
+func TestRefused(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		spoil func(t *testing.T, path string)
+		want  error
+	}{
+		{"held", func(t *testing.T, path string) {
+			db, err := bbolt.Open(path, 0o600, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { db.Close() })
+		}, ErrHeld},
+		{"not a store", func(t *testing.T, path string) { write(t, path, []byte(strings.Repeat("no store ", 9000))) }, ErrDamaged},
+		{"torn", func(t *testing.T, path string) {
+			text, _ := os.ReadFile(path)
+			write(t, path, text[:5000])
+		}, ErrDamaged},
+		{"later version", func(t *testing.T, path string) { meta(t, path, metaBucket, formatKey, []byte{Format + 1}) }, ErrNewer},
+		{"a record that makes no sense", func(t *testing.T, path string) {
+			meta(t, path, begunBucket, []byte("x"), []byte(`{"Stage":9}`))
+		}, ErrDamaged},
+		{"an event that makes no sense", func(t *testing.T, path string) { meta(t, path, eventBucket, []byte("x"), []byte("y")) }, ErrDamaged},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir := t.TempDir()
+			s := open(t, dir)
+			if err := s.Add(&calendar.Calendar{Windows: []calendar.Window{window("a")}}, start); err != nil {
+				t.Fatal(err)
+			}
+			s.Close()
+			c.spoil(t, filepath.Join(dir, "drains.db"))
+			if s, err := Open(dir); !errors.Is(err, c.want) {
+				t.Errorf("%v, want %v", err, c.want)
+				if err == nil {
+					s.Close()
+				}
+			}
+		})
+	}
+}
+
+func write(t *testing.T, path string, text []byte) {
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func meta(t *testing.T, path string, bucket, key, value []byte) {
+	db, err := bbolt.Open(path, 0o600, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer db.Close()
+	if err := db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bucket).Put(key, value) }); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestSnapshot(t *testing.T) {
+	s := open(t, t.TempDir())
+	if err := s.Add(&calendar.Calendar{Windows: []calendar.Window{window("a")}}, start); err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	if err := s.Snapshot(filepath.Join(dir, "drains.db")); err != nil {
+		t.Fatal(err)
+	}
+	if c, err := open(t, dir).Calendar(); err != nil || len(c.Windows) != 1 {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
