Maintenance windows carried out: opened once, work moved off at a pace, closed

A keeper free of I/O takes each window from its drain to its end, each step on the disk first; the engine treats nodes taken out as draining whatever the list says and calls back tries that are out to them.

--- a/internal/decide/calendar/calendar.go
+++ b/internal/decide/calendar/calendar.go
@@ -457,3 +457,23 @@
 	slices.Sort(names)
 	return names
 }
+
+// Opens says what speaks against opening a window now though it was kept, "" if nothing does: nodes that are lost
+// count as out. The veto of one process keeps its own placements going; it takes nothing from what others decided.
+func Opens(v Verdict, fleet []Node, lost map[string]bool, out map[string]bool, limits Limits) string {
+	gone, all := 0, max(1, len(fleet))
+	mine := map[string]bool{}
+	for _, n := range v.Nodes {
+		mine[n] = true
+	}
+	for _, n := range fleet {
+		if lost[n.ID] || out[n.ID] || mine[n.ID] {
+			gone++
+		}
+	}
+	if part := float64(gone) / float64(all); part > limits.Fleet && len(lost) > 0 {
+		return fmt.Sprintf("with %d nodes lost %.0f%% of the fleet would be out, at most %.0f%%", len(lost), 100*part,
+			100*limits.Fleet)
+	}
+	return ""
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -141,6 +141,8 @@
 	id       uint32
 	address  string
 	avail    logic.Availability
+	last     entry
+	out      bool // for maintenance
 	page     int
 	life     uint64
 	same     bool // it came back in the life in which it was left
--- a/internal/engine/nodes.go
+++ b/internal/engine/nodes.go
@@ -35,12 +35,98 @@
 		e.edge.Hang(id, "moved to another address")
 	}
 	n.address = address
-	e.turn(nd, avail)
 	since := 0.0
 	if startedAt > 0 {
 		since = max(0, startedAt-e.terms.Clock) // one who started before this clock's zero started long ago
 	}
-	e.sched.ListNode(e.now, id, avail, since, freeCores, freeMemory, zone, cell, kind)
+	n.last = entry{avail, since, freeCores, freeMemory, zone, cell, kind}
+	e.hear(nd)
+}
+
+// entry is what the list last told of a node.
+type entry struct {
+	avail                 logic.Availability
+	since                 float64
+	freeCores, freeMemory float64
+	zone, cell, kind      int
+}
+
+// hear tells the module of a node: as the list has it, but draining where the calendar has it out.
+func (e *Engine) hear(nd int) {
+	n := &e.nodes[nd]
+	l, avail := n.last, n.last.avail
+	if n.out && avail == logic.Ready {
+		avail = logic.Draining
+	}
+	e.turn(nd, avail)
+	e.sched.ListNode(e.now, n.id, avail, l.since, l.freeCores, l.freeMemory, l.zone, l.cell, l.kind)
+}
+
+// Calendar takes nodes out for maintenance, or brings them back, whatever the list says of them. Tries that are out to
+// a node taken out are recalled: they come back, or run after all, but are never doubled. A node brought back that
+// the list has as ready is ready again; if it was started anew meanwhile, the list says so and it is paced as cold.
+func (e *Engine) Calendar(now float64, ids []uint32, out bool) {
+	e.now, e.news = now, true
+	e.sched.ListBegin(now, logic.ListChanges)
+	e.listKind = logic.ListChanges
+	for _, id := range ids {
+		nd, ok := e.nodeAt[id]
+		if !ok || e.nodes[nd].out == out {
+			continue
+		}
+		e.nodes[nd].out = out
+		if e.nodes[nd].avail != logic.Gone {
+			e.hear(nd)
+		}
+		if out {
+			e.clear(nd)
+		}
+	}
+	e.sched.ListEnd(now)
+}
+
+// clear calls back what does not run yet at a node.
+func (e *Engine) clear(nd int) {
+	for _, p := range e.nodes[nd].on {
+		switch a := &e.allocs[p]; a.phase {
+		case held:
+			e.soon = append(e.soon, settlement{a.id, a.try, logic.Unsent})
+		case out:
+			if !a.recalled && e.terms.Cluster.MayRecall {
+				e.recall(a)
+			}
+		}
+	}
+}
+
+// Running counts what runs at a node, by job type.
+func (e *Engine) Running(id uint32, byJob []int) {
+	nd, ok := e.nodeAt[id]
+	if !ok {
+		return
+	}
+	for _, p := range e.nodes[nd].on {
+		if a := &e.allocs[p]; a.phase == runs && !a.stopping {
+			byJob[a.job]++
+		}
+	}
+}
+
+// MoveOff stops up to so many of what runs at a node, of the job types that may be; their owners ask again. It
+// returns how many it stopped.
+func (e *Engine) MoveOff(now float64, id uint32, may []bool, most int) (stopped int) {
+	e.now, e.news = now, true
+	nd, ok := e.nodeAt[id]
+	if !ok {
+		return 0
+	}
+	for _, p := range e.nodes[nd].on {
+		if a := &e.allocs[p]; stopped < most && a.phase == runs && !a.stopping && may[a.job] {
+			e.stop(a)
+			stopped++
+		}
+	}
+	return stopped
 }
 
 // ListEnd closes the news.
--- /dev/null
+++ b/internal/upkeep/upkeep.go
@@ -0,0 +1,203 @@
+// Package upkeep carries out maintenance windows: it opens them, has work moved off, and closes them, step by step and
+// each step on the disk first. It is free of sockets and clocks; Tick is given the time, and the hands that act.
+package upkeep
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"ravenpond/internal/decide/calendar"
+	"ravenpond/internal/decide/shift"
+	"ravenpond/internal/state/drains"
+)
+
+// Hands act on the scheduler.
+type Hands interface {
+	// Out takes nodes out or brings them back; doing it again changes nothing.
+	Out(nodes []string, out bool)
+	// Running counts what runs at nodes, and on the whole fleet, by job type.
+	Running(nodes []string) (there []int, all int)
+	// MoveOff stops up to so many allocations of a job type at nodes.
+	MoveOff(nodes []string, job, most int) int
+	Mode(line string)
+}
+
+// Store keeps what was begun.
+type Store interface {
+	Calendar() (*calendar.Calendar, error)
+	Begin(v calendar.Verdict, now time.Time) (drains.Begun, bool, error)
+	Reach(window string, nominal time.Time, stage drains.Stage, now time.Time) error
+	Open() ([]drains.Begun, error)
+	Forget(before time.Time) error
+}
+
+// Keeper carries out one process's windows.
+type Keeper struct {
+	Store   Store
+	Hands   Hands
+	Limits  calendar.Limits
+	Manners []shift.Manner // by job type
+	Load    *calendar.Load
+
+	told    map[string]bool // drains announced in this life of the process
+	veto    map[string]bool
+	last    time.Time
+	planned time.Time
+	plan    []calendar.Verdict
+}
+
+// again is how long a plan holds before it is worked out anew.
+const again = 20 * time.Second
+
+// keepClosed is how long closed drains are remembered: longer than any clock that jumped back.
+const keepClosed = 40 * 24 * time.Hour
+
+func name(v calendar.Verdict) string { return v.Window + " " + v.Nominal.UTC().Format(time.RFC3339) }
+
+// Tick does what is due. fleet is the node list as last heard, lost those of it that are not there.
+func (k *Keeper) Tick(now time.Time, fleet []calendar.Node, lost map[string]bool) error {
+	if k.told == nil {
+		k.told, k.veto = map[string]bool{}, map[string]bool{}
+	}
+	cal, err := k.Store.Calendar()
+	if err != nil {
+		return fmt.Errorf("drains: %w", err)
+	}
+	open, err := k.Store.Open()
+	if err != nil {
+		return fmt.Errorf("drains: %w", err)
+	}
+	for _, b := range open { // first what was begun, by this life or an earlier one
+		if err := k.goOn(now, b, cal); err != nil {
+			return err
+		}
+	}
+	if k.planned.IsZero() || now.Sub(k.planned) > again || now.Before(k.planned) {
+		k.planned = now
+		k.plan = calendar.Plan(cal, fleet, k.Limits, k.Load, now.Add(-8*24*time.Hour), now.Add(8*24*time.Hour))
+		if err := k.Store.Forget(now.Add(-keepClosed)); err != nil {
+			return fmt.Errorf("drains: %w", err)
+		}
+	}
+	out := map[string]bool{}
+	for _, b := range open {
+		for _, n := range b.Verdict.Nodes {
+			out[n] = true
+		}
+	}
+	for _, v := range k.plan {
+		if v.Outcome == calendar.Refused || now.Before(v.Drain) || !now.Before(v.End) || len(v.Nodes) == 0 ||
+			slices.ContainsFunc(open, func(b drains.Begun) bool { return name(b.Verdict) == name(v) }) || !stands(cal, v) {
+			continue
+		}
+		if why := calendar.Opens(v, fleet, lost, out, k.Limits); why != "" {
+			if !k.veto[name(v)] {
+				k.veto[name(v)] = true
+				k.Hands.Mode(fmt.Sprintf("window %s: not opened: %s", v.Window, why))
+			}
+			continue
+		}
+		b, fresh, err := k.Store.Begin(v, now)
+		if err != nil {
+			return fmt.Errorf("drains: %w", err)
+		}
+		if !fresh { // it was opened and closed before
+			continue
+		}
+		for _, n := range v.Nodes {
+			out[n] = true
+		}
+		if err := k.goOn(now, b, cal); err != nil {
+			return err
+		}
+	}
+	k.last = now
+	return nil
+}
+
+// stands tells whether the calendar still has an occurrence.
+func stands(cal *calendar.Calendar, v calendar.Verdict) bool {
+	i := slices.IndexFunc(cal.Windows, func(w calendar.Window) bool { return w.ID == v.Window })
+	return i >= 0 && !slices.ContainsFunc(cal.Windows[i].Except, v.Nominal.Equal)
+}
+
+// goOn takes a drain as far as it can go now.
+func (k *Keeper) goOn(now time.Time, b drains.Begun, cal *calendar.Calendar) error {
+	v := b.Verdict
+	reach := func(s drains.Stage) error {
+		if err := k.Store.Reach(v.Window, v.Nominal, s, now); err != nil {
+			return fmt.Errorf("drains: %w", err)
+		}
+		return nil
+	}
+	if !k.told[name(v)] { // after a restart it is announced again: to do so twice changes nothing, not to would
+		k.Hands.Out(v.Nodes, true)
+		k.told[name(v)] = true
+		k.Hands.Mode(fmt.Sprintf("window %s: %d nodes drain until %s", v.Window, len(v.Nodes), v.End.UTC().Format(time.RFC3339)))
+		if err := reach(drains.Announced); err != nil {
+			return err
+		}
+	}
+	there, all := k.Hands.Running(v.Nodes)
+	left := 0
+	for _, n := range there {
+		left += n
+	}
+	if left == 0 && b.Stage < drains.Emptied {
+		k.Hands.Mode(fmt.Sprintf("window %s: empty after %.0f s", v.Window, now.Sub(b.At[drains.Opened]).Seconds()))
+		if err := reach(drains.Emptied); err != nil {
+			return err
+		}
+	}
+	cancelled := !stands(cal, v)
+	if cancelled || !now.Before(v.End) {
+		return k.close(now, v, there, left, cancelled, reach)
+	}
+	ms := func(t time.Time) float64 { return float64(t.UnixNano()) / 1e6 }
+	for job, n := range there {
+		if most := shift.Moves(k.Manners[job], ms(now), ms(v.Drain), ms(v.Start), ms(k.last), n, all); most > 0 {
+			k.Hands.MoveOff(v.Nodes, job, most)
+		}
+	}
+	return nil
+}
+
+// close brings the nodes of a window back, as its ending says.
+func (k *Keeper) close(now time.Time, v calendar.Verdict, there []int, left int, cancelled bool, reach func(drains.Stage) error) error {
+	if !cancelled && left > 0 {
+		switch v.Ending {
+		case calendar.Sweep:
+			for job, n := range there {
+				if k.Manners[job] != shift.RunOut {
+					k.Hands.MoveOff(v.Nodes, job, n)
+				}
+			}
+		case calendar.Hold:
+			if now.Before(v.End.Add(v.End.Sub(v.Start))) { // at most once more its length
+				return nil
+			}
+		}
+	}
+	others, err := k.Store.Open()
+	if err != nil {
+		return fmt.Errorf("drains: %w", err)
+	}
+	back := slices.Clone(v.Nodes)
+	for _, b := range others { // a node that another window holds stays out
+		if name(b.Verdict) != name(v) {
+			back = slices.DeleteFunc(back, func(n string) bool { return slices.Contains(b.Verdict.Nodes, n) })
+		}
+	}
+	if err := reach(drains.Closed); err != nil {
+		return err
+	}
+	k.Hands.Out(back, false)
+	delete(k.told, name(v))
+	word := "over"
+	if cancelled {
+		word = "cancelled"
+	}
+	k.Hands.Mode(fmt.Sprintf("window %s: %s, %d nodes back, %d allocations still there", v.Window, word, len(back), left))
+	return nil
+}
--- /dev/null
+++ b/internal/upkeep/upkeep_test.go
@@ -0,0 +1,216 @@
+package upkeep
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"ravenpond/internal/decide/calendar"
+	"ravenpond/internal/decide/shift"
+	"ravenpond/internal/state/drains"
+)
+
+var start = time.Date(2026, 3, 2, 10, 0, 0, 0, time.UTC)
+
+// hands write down what is asked of them and hold what runs at each node.
+type hands struct {
+	out   map[string]bool
+	runs  map[string][]int // by job type
+	lines []string
+	moved int
+}
+
+func (h *hands) Out(nodes []string, out bool) {
+	for _, n := range nodes {
+		if out {
+			h.out[n] = true
+		} else {
+			delete(h.out, n)
+		}
+	}
+}
+
+func (h *hands) Running(nodes []string) ([]int, int) {
+	there, all := make([]int, 2), 0
+	for n, jobs := range h.runs {
+		for job, c := range jobs {
+			all += c
+			if slices.Contains(nodes, n) {
+				there[job] += c
+			}
+		}
+	}
+	return there, all
+}
+
+func (h *hands) MoveOff(nodes []string, job, most int) int {
+	for _, n := range nodes {
+		for h.runs[n][job] > 0 && most > 0 {
+			h.runs[n][job]--
+			most--
+			h.moved++
+		}
+	}
+	return 0
+}
+
+func (h *hands) Mode(line string) { h.lines = append(h.lines, line) }
+
+func world(t *testing.T, windows ...calendar.Window) (string, *drains.Store, *Keeper, *hands) {
+	dir := t.TempDir()
+	s, err := drains.Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Add(&calendar.Calendar{Windows: windows}, start); err != nil {
+		t.Fatal(err)
+	}
+	h := &hands{out: map[string]bool{}, runs: map[string][]int{"n1": {30, 2}, "n2": {20, 0}, "n3": {50, 5}}}
+	return dir, s, keeper(s, h), h
+}
+
+func keeper(s Store, h *hands) *Keeper {
+	return &Keeper{Store: s, Hands: h, Limits: calendar.Limits{Fleet: 0.5, Zone: 1, Kind: 1, Margin: 1},
+		Manners: []shift.Manner{shift.Late, shift.RunOut}}
+}
+
+func fleet() (all []calendar.Node) {
+	for i := 1; i <= 4; i++ {
+		all = append(all, calendar.Node{ID: fmt.Sprint("n", i), Zone: "z", Cell: fmt.Sprint("c", i/3), Kind: "k", Cores: 1, Memory: 1})
+	}
+	return all
+}
+
+func window(id, node string) calendar.Window {
+	return calendar.Window{ID: id, Place: node, Start: start, Last: time.Hour, Lead: 10 * time.Minute}
+}
+
+// ticks lets a keeper tick every second from one minute to another.
+func ticks(t *testing.T, k *Keeper, from, to int, lost map[string]bool) {
+	t.Helper()
+	for s := from * 60; s < to*60; s++ {
+		if err := k.Tick(start.Add(time.Duration(s)*time.Second), fleet(), lost); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestCourse(t *testing.T) {
+	_, s, k, h := world(t, window("a", "n1"))
+	ticks(t, k, -12, -10, nil)
+	if len(h.out) != 0 {
+		t.Error("out before its time")
+	}
+	ticks(t, k, -10, -5, nil)
+	if !h.out["n1"] || h.moved != 0 {
+		t.Errorf("out %v, %d moved in the first half of the lead", h.out, h.moved)
+	}
+	ticks(t, k, -5, 0, nil)
+	if h.runs["n1"][0] != 0 || h.runs["n1"][1] != 2 {
+		t.Errorf("left there at the start: %v", h.runs["n1"])
+	}
+	ticks(t, k, 0, 61, nil)
+	if len(h.out) != 0 || len(h.lines) != 2 {
+		t.Errorf("out %v after the end, lines %q", h.out, h.lines)
+	}
+	if open, _ := s.Open(); len(open) != 0 {
+		t.Errorf("open: %+v", open)
+	}
+}
+
+func TestKilled(t *testing.T) {
+	for _, at := range []string{"opened", "told", "closed"} {
+		t.Run(at, func(t *testing.T) {
+			dir, s, k, h := world(t, window("a", "n1"))
+			k.Store = &failing{Store: s, at: at}
+			var err error
+			for s := -11 * 60; s < 62*60 && err == nil; s++ {
+				err = k.Tick(start.Add(time.Duration(s)*time.Second), fleet(), nil)
+			}
+			if !errors.Is(err, errKill) {
+				t.Fatal("not killed: ", err)
+			}
+			s.Close()
+			s, err = drains.Open(dir)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			h2 := &hands{out: map[string]bool{}, runs: h.runs} // the next life knows nothing
+			k = keeper(s, h2)
+			ticks(t, k, 20, 21, nil)
+			if at != "closed" && !h2.out["n1"] {
+				t.Error("forgotten by the next life")
+			}
+			ticks(t, k, 59, 63, nil)
+			begun, _ := s.Begun()
+			if len(h2.out) != 0 || len(begun) != 1 || begun[0].Stage != drains.Closed {
+				t.Errorf("out %v, %+v", h2.out, begun)
+			}
+		})
+	}
+}
+
+var errKill = errors.New("killed")
+
+// failing dies between two steps.
+type failing struct {
+	*drains.Store
+	at string
+}
+
+func (f *failing) Begin(v calendar.Verdict, now time.Time) (drains.Begun, bool, error) {
+	b, fresh, err := f.Store.Begin(v, now)
+	if f.at == "opened" && err == nil {
+		err = errKill
+	}
+	return b, fresh, err
+}
+
+func (f *failing) Reach(w string, n time.Time, s drains.Stage, now time.Time) error {
+	if f.at == "told" && s == drains.Announced || f.at == "closed" && s == drains.Closed {
+		return errKill
+	}
+	return f.Store.Reach(w, n, s, now)
+}
+
+func TestCancelledWhileDraining(t *testing.T) {
+	_, s, k, h := world(t, window("a", "n1"))
+	ticks(t, k, -10, -8, nil)
+	if err := s.Cancel("a", time.Time{}, start); err != nil {
+		t.Fatal(err)
+	}
+	ticks(t, k, -8, -7, nil)
+	if len(h.out) != 0 || !strings.Contains(h.lines[len(h.lines)-1], "cancelled") {
+		t.Errorf("out %v, %q", h.out, h.lines)
+	}
+}
+
+func TestHallLost(t *testing.T) {
+	_, _, k, h := world(t, window("a", "n1"))
+	ticks(t, k, -11, 0, map[string]bool{"n3": true, "n4": true})
+	if len(h.out) != 0 || !strings.Contains(strings.Join(h.lines, ""), "2 nodes lost") {
+		t.Errorf("out %v, %q", h.out, h.lines)
+	}
+	ticks(t, k, 0, 2, nil) // the hall is back within the window's time
+	if !h.out["n1"] {
+		t.Error("not opened when the hall was back")
+	}
+}
+
+func TestSharedNode(t *testing.T) {
+	b := window("b", "n1")
+	b.Last = 2 * time.Hour
+	_, _, k, h := world(t, window("a", "n1"), b)
+	ticks(t, k, -10, 70, nil)
+	if !h.out["n1"] {
+		t.Error("back while another window holds it")
+	}
+	ticks(t, k, 70, 122, nil)
+	if len(h.out) != 0 {
+		t.Error("still out")
+	}
+}
