ravenpond drain: add, list, show, cancel, simulate; serve carries windows out

Drains were started by hand. A process looks at its calendar once a second, tells its shards before any list does, and knows after a restart what is out before it places anything. simulate prints a month with verdicts and reasons.

--- /dev/null
+++ b/cmd/ravenpond/drain.go
@@ -0,0 +1,270 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"ravenpond/internal/decide/calendar"
+	"ravenpond/internal/proto/ics"
+	"ravenpond/internal/site"
+	"ravenpond/internal/state"
+	"ravenpond/internal/state/drains"
+)
+
+// drainCommands change and show the calendar in a scheduler's state folder. Every scheduler of a site needs the same.
+type drainCommands struct {
+	Add      drainAdd      `cmd:"" help:"Add windows and protected times from an iCalendar file, or one window by flags."`
+	List     drainList     `cmd:"" help:"List windows and protected times, or write them as iCalendar."`
+	Show     drainShow     `cmd:"" help:"Show a window and what became of its drains."`
+	Cancel   drainCancel   `cmd:"" help:"Cancel a window, or one start of it."`
+	Simulate drainSimulate `cmd:"" help:"Print what the windows of a month come to."`
+}
+
+type stateFlag struct {
+	State string `required:"" type:"path" help:"The scheduler's state folder."`
+}
+
+// store opens the store, waiting for a scheduler that looks at it just now.
+func (f stateFlag) store() (s *drains.Store, err error) {
+	for range 20 {
+		if s, err = drains.Open(f.State); !errors.Is(err, drains.ErrHeld) {
+			return s, err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil, err
+}
+
+type drainAdd struct {
+	stateFlag
+	File     string        `arg:"" optional:"" help:"iCalendar file, - for standard input."`
+	ID       string        `help:"Name of the window."`
+	Node     string        `help:"Node to drain, by its number."`
+	Cell     string        `help:"Cell to drain."`
+	Zone     string        `help:"Zone to drain."`
+	Start    string        `help:"First start, as 2026-03-02T10:00 in the time zone of --tz."`
+	TZ       string        `default:"UTC" help:"Time zone that the starts follow."`
+	Last     time.Duration `help:"How long the nodes are out."`
+	Rule     string        `help:"Recurrence, RFC 5545, such as FREQ=WEEKLY."`
+	Lead     time.Duration `default:"10m" help:"The drain begins so long before."`
+	Slack    time.Duration `help:"The window may begin so much later."`
+	Priority int           `help:"Higher goes first."`
+	Ending   string        `enum:"release,sweep,hold" default:"release" help:"With work left at the end: release, sweep or hold."`
+}
+
+func (c *drainAdd) Run() error {
+	cal, err := c.calendar()
+	if err != nil {
+		return err
+	}
+	s, err := c.store()
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	if err := s.Add(cal, time.Now()); err != nil {
+		return err
+	}
+	fmt.Printf("%d windows, %d protected times added\n", len(cal.Windows), len(cal.Protected))
+	return nil
+}
+
+func (c *drainAdd) calendar() (*calendar.Calendar, error) {
+	if c.File != "" {
+		in := io.Reader(os.Stdin)
+		if c.File != "-" {
+			f, err := os.Open(c.File)
+			if err != nil {
+				return nil, err
+			}
+			defer f.Close()
+			in = f
+		}
+		return ics.Decode(in)
+	}
+	zone, err := time.LoadLocation(c.TZ)
+	if err != nil {
+		return nil, err
+	}
+	start, err := time.ParseInLocation("2006-01-02T15:04", c.Start, zone)
+	if err != nil {
+		return nil, fmt.Errorf("--start: %w", err)
+	}
+	w := calendar.Window{ID: c.ID, Start: start, Last: c.Last, Rule: c.Rule, Lead: c.Lead, Slack: c.Slack,
+		Priority: c.Priority, Added: time.Now().UTC().Truncate(time.Second)}
+	w.End = calendar.Ending(slices.Index([]string{"release", "sweep", "hold"}, c.Ending))
+	places := 0
+	for reach, place := range []string{c.Node, c.Cell, c.Zone} {
+		if place != "" {
+			w.Reach, w.Place = calendar.Reach(reach), place
+			places++
+		}
+	}
+	if places != 1 {
+		return nil, errors.New("one of --node, --cell and --zone is needed")
+	}
+	if w.ID == "" {
+		w.ID = strings.ToLower(fmt.Sprintf("%s-%s-%s", w.Reach, w.Place, start.Format("20060102-1504")))
+	}
+	return &calendar.Calendar{Windows: []calendar.Window{w}}, nil
+}
+
+type drainList struct {
+	stateFlag
+	ICal bool `name:"ical" help:"Write an iCalendar file."`
+}
+
+func (c *drainList) Run() error {
+	s, err := c.store()
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	cal, err := s.Calendar()
+	if err != nil {
+		return err
+	}
+	if c.ICal {
+		return ics.Encode(os.Stdout, cal, time.Now())
+	}
+	out := tabwriter.NewWriter(os.Stdout, 2, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "NAME\tWHAT\tFIRST START\tLENGTH\tRULE\tSLACK\tPRIORITY")
+	for _, w := range cal.Windows {
+		fmt.Fprintf(out, "%s\t%s %s\t%s\t%s\t%s\t%s\t%d\n", w.ID, w.Reach, w.Place, w.Start.Format("2006-01-02 15:04 MST"), w.Last,
+			w.Rule, w.Slack, w.Priority)
+	}
+	for _, p := range cal.Protected {
+		fmt.Fprintf(out, "%s\tprotected\t%s\t%s\t%s\t\t\n", p.ID, p.Start.Format("2006-01-02 15:04 MST"), p.Last, p.Rule)
+	}
+	return out.Flush()
+}
+
+type drainShow struct {
+	stateFlag
+	ID string `arg:"" help:"Name of the window."`
+}
+
+func (c *drainShow) Run() error {
+	s, err := c.store()
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	cal, err := s.Calendar()
+	if err != nil {
+		return err
+	}
+	begun, err := s.Begun()
+	if err != nil {
+		return err
+	}
+	found := false
+	for _, w := range cal.Windows {
+		if w.ID == c.ID {
+			found = true
+			fmt.Printf("%s: %s %s, first %s, %s long, lead %s, slack %s, rule %q, at its end: %s\n", w.ID, w.Reach, w.Place,
+				w.Start.Format("2006-01-02 15:04 MST"), w.Last, w.Lead, w.Slack, w.Rule, w.End)
+		}
+	}
+	for _, b := range begun {
+		if b.Verdict.Window == c.ID {
+			found = true
+			fmt.Printf("  %s: %s, %d nodes, %s to %s\n", b.Verdict.Nominal.Format("2006-01-02 15:04 MST"), b.Stage,
+				len(b.Verdict.Nodes), b.Verdict.Drain.Format("15:04"), b.Verdict.End.Format("2006-01-02 15:04 MST"))
+		}
+	}
+	if !found {
+		return fmt.Errorf("%q: %w", c.ID, drains.ErrNone)
+	}
+	return nil
+}
+
+type drainCancel struct {
+	stateFlag
+	ID    string `arg:"" help:"Name of the window."`
+	Start string `help:"Only the start at this time, RFC 3339."`
+}
+
+func (c *drainCancel) Run() error {
+	var start time.Time
+	if c.Start != "" {
+		var err error
+		if start, err = time.Parse(time.RFC3339, c.Start); err != nil {
+			return fmt.Errorf("--start: %w", err)
+		}
+	}
+	s, err := c.store()
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	return s.Cancel(c.ID, start, time.Now())
+}
+
+type drainSimulate struct {
+	stateFlag
+	Site string `required:"" type:"existingfile" help:"The site file, for its limits."`
+	From string `help:"First day, as 2026-03-02; today without it."`
+	Days int    `default:"31" help:"How many days."`
+}
+
+func (c *drainSimulate) Run() error {
+	place, err := site.Load(c.Site)
+	if err != nil {
+		return err
+	}
+	from := time.Now().UTC().Truncate(24 * time.Hour)
+	if c.From != "" {
+		if from, err = time.Parse("2006-01-02", c.From); err != nil {
+			return fmt.Errorf("--from: %w", err)
+		}
+	}
+	fleet, err := lastFleet(c.State, place)
+	if err != nil {
+		return err
+	}
+	s, err := c.store()
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	cal, err := s.Calendar()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d nodes on the last list; usual load is not known here: hours nobody measured count as 55%% asked for\n", len(fleet))
+	out := tabwriter.NewWriter(os.Stdout, 2, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "WINDOW\tCALENDAR\tVERDICT\tDRAINS FROM\tOUT\tBACK\tNODES\tMOST OUT\tWHY")
+	for _, v := range calendar.Plan(cal, fleet, place.Drains, &calendar.Load{}, from, from.AddDate(0, 0, c.Days)) {
+		const at = "2 Jan 15:04"
+		if v.Outcome == calendar.Refused {
+			fmt.Fprintf(out, "%s\t%s\trefused\t\t\t\t%d\t\t%s\n", v.Window, v.Nominal.Format(at), len(v.Nodes), v.Why)
+			continue
+		}
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%.0f%%\t%s\n", v.Window, v.Nominal.Format(at), v.Outcome, v.Drain.Format(at),
+			v.Start.Format(at), v.End.Format(at), len(v.Nodes), 100*v.Out, v.Why)
+	}
+	return out.Flush()
+}
+
+// lastFleet is the fleet of a scheduler's last list, read beside a scheduler that may be running.
+func lastFleet(folder string, place *site.Place) (fleet []calendar.Node, err error) {
+	l, err := state.ReadList(folder)
+	if err != nil || l == nil {
+		return nil, err
+	}
+	for _, en := range l.Entries() {
+		if kind := slices.Index(place.Kinds, en.Kind); kind >= 0 {
+			fleet = append(fleet, calendar.Node{ID: strconv.FormatUint(uint64(en.ID), 10), Zone: en.Zone, Cell: en.Cell, Kind: en.Kind,
+				Cores: place.Cluster.KindCores[kind], Memory: place.Cluster.KindMemory[kind]})
+		}
+	}
+	return fleet, nil
+}
--- a/cmd/ravenpond/main.go
+++ b/cmd/ravenpond/main.go
@@ -33,7 +33,8 @@
 		Schema  schemaCommand  `cmd:"" help:"Print the XML schema of site files."`
 		Example exampleCommand `cmd:"" help:"Print a site file to start from."`
 	} `cmd:"" help:"Site files."`
-	Drill drillCommand `cmd:"" help:"Play a scripted bad day on loopback and audit the rules."`
+	Drain drainCommands `cmd:"" help:"Maintenance windows."`
+	Drill drillCommand  `cmd:"" help:"Play a scripted bad day on loopback and audit the rules."`
 	Lab   struct {
 		Load  loadCommand  `cmd:"" help:"Load a scheduler on loopback and print its latency and CPU time."`
 		Cores coresCommand `cmd:"" help:"Measure several shards, and check that none ever shares an allocation."`
--- a/internal/engine/nodes.go
+++ b/internal/engine/nodes.go
@@ -27,7 +27,7 @@
 		}
 		nd = len(e.nodes)
 		e.nodeAt[id] = nd
-		e.nodes = append(e.nodes, node{id: id, probeSeq: uint64(e.terms.Life) << 24}) // above any earlier life's
+		e.nodes = append(e.nodes, node{id: id, probeSeq: uint64(e.terms.Life) << 24, out: e.outs[id]}) // above any earlier life's
 	}
 	n := &e.nodes[nd]
 	n.page = e.page
@@ -70,7 +70,12 @@
 	e.sched.ListBegin(now, logic.ListChanges)
 	e.listKind = logic.ListChanges
 	for _, id := range ids {
-		nd, ok := e.nodeAt[id]
+		if out {
+			e.outs[id] = true
+		} else {
+			delete(e.outs, id)
+		}
+		nd, ok := e.nodeAt[id] // one that the list names only later is out from then on
 		if !ok || e.nodes[nd].out == out {
 			continue
 		}
--- a/internal/serve/list.go
+++ b/internal/serve/list.go
@@ -59,6 +59,14 @@
 	entries := s.indexed(s.list.Entries())
 	s.mu.Unlock()
 	sh.hearList(logic.ListCached, entries)
+	s.desk.Lock()
+	var out []uint32
+	for id := range s.out {
+		out = append(out, id)
+	}
+	s.desk.Unlock()
+	slices.Sort(out)
+	sh.tell(func(now float64) { sh.eng.Calendar(now, out, true) })
 }
 
 // indexed gives entries their places as small indices; under the lock. Those whose zone or kind the site file lacks
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"ravenpond/internal/decide/calendar"
 	"ravenpond/internal/decide/ledger"
 	"ravenpond/internal/decide/shares"
 	"ravenpond/internal/decide/watch"
@@ -85,12 +86,15 @@
 	lives   map[uint32]*shard
 	lost    map[ledger.Name]ledger.Ask // what ran at a fenced shard and is to be found again
 	resting map[uint64]float64         // services that wait for that, until a time
+	out     map[uint32]bool            // nodes that are out for maintenance
 
 	mu       sync.Mutex
 	owners   map[uint32]*owner
 	ownerIDs uint32
 	list     *state.List
 	cells    map[string]int
+	known    map[string]calendar.Node // every node that was ever on the list, until long after it left
+	goneAt   map[string]time.Time
 }
 
 // Run runs a scheduler until the context ends. All that was open is answered then.
@@ -120,7 +124,8 @@
 	place := who.Place
 	s := &server{who: who, log: who.Log, clock: newClock(), folder: folder, list: last, calls: make(chan call, 8),
 		owners: map[uint32]*owner{}, cells: map[string]int{}, lives: map[uint32]*shard{},
-		lost: map[ledger.Name]ledger.Ask{}, resting: map[uint64]float64{}}
+		lost: map[ledger.Name]ledger.Ask{}, resting: map[uint64]float64{}, out: map[uint32]bool{}, known: map[string]calendar.Node{},
+		goneAt: map[string]time.Time{}}
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx)) // ends after the last answers
 	defer stop()
 	s.ctx = inner
@@ -145,6 +150,9 @@
 	s.ledger = ledger.Table(place.Cluster.JobTypes, s.shards[place.Shards-1].life)
 	s.ledger.Trusted = who.Plant.Trust
 	s.dog = watch.New(s.clock.now(), place.Shards)
+	if err := s.outAtStart(); err != nil {
+		return fmt.Errorf("drains: %w", err)
+	}
 	for _, sh := range s.shards {
 		s.lastListTo(sh)
 	}
@@ -156,6 +164,7 @@
 	s.goes(func() { s.listLoop(inner) })
 	s.goes(func() { s.accept(inner, door) })
 	s.goes(func() { s.saves(inner) })
+	s.goes(func() { s.keepDrains(inner) })
 	s.goes(func() { s.watch(inner, time.Duration(min(watch.LookEach(), place.Margin/4)*1e6)) })
 	if who.Ready != nil {
 		who.Ready(door.Addr())
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -8,7 +8,10 @@
 	"io"
 	"os"
 	"strings"
+	"time"
 
+	"ravenpond/internal/decide/calendar"
+	"ravenpond/internal/decide/shift"
 	"ravenpond/internal/sheet"
 	"ravenpond/logic"
 )
@@ -71,6 +74,7 @@
 			{Name: "machine", Kind: sheet.Name},
 			{Name: "spread", Kind: sheet.Word, Default: "anywhere", Words: []string{"anywhere", "node", "cell", "zone"}},
 			{Name: "most", Kind: sheet.Whole, Min: 1, Max: 1e6},
+			{Name: "drain", Kind: sheet.Word, Words: []string{"early", "late", "run-out"}},
 		}},
 		{Name: "tenant", Least: 1, Key: "name", Attrs: []sheet.Attr{
 			{Name: "name", Kind: sheet.Name, Must: true},
@@ -82,6 +86,14 @@
 			{Name: "owner-queue", Kind: sheet.Whole, Default: "20000", Min: 16, Max: 1e7},
 			{Name: "node-queue", Kind: sheet.Whole, Default: "262144", Min: 4096, Max: 1 << 30},
 		}},
+		{Name: "drains", Most: 1, Attrs: []sheet.Attr{
+			{Name: "fleet", Kind: sheet.Number, Default: "0.25", Min: 0, Max: 1},
+			{Name: "zone", Kind: sheet.Number, Default: "0.5", Min: 0, Max: 1},
+			{Name: "machine", Kind: sheet.Number, Default: "0.5", Min: 0, Max: 1},
+			{Name: "cold", Kind: sheet.Whole, Default: "20", Min: 1, Max: 1e6},
+			{Name: "margin", Kind: sheet.Number, Default: "1.2", Min: 0.1, Max: 10},
+			{Name: "guard", Kind: sheet.Duration, Default: "5s", Min: 0, Max: hour},
+		}},
 		{Name: "shards", Most: 1, Attrs: []sheet.Attr{
 			{Name: "count", Kind: sheet.Whole, Must: true, Min: 1, Max: 64},
 			{Name: "connections", Kind: sheet.Word, Default: "shared", Words: []string{"own", "shared", "informed"}},
@@ -113,6 +125,8 @@
 	Open               int
 	Owners, OwnerQueue int
 	NodeQueue          int
+	Drains             calendar.Limits
+	Manners            []shift.Manner // by job type, how its work leaves a node that is taken out
 	Shards             int
 	Connections        Connections
 	PlaceBy            int // a shares.Way
@@ -166,6 +180,12 @@
 	for _, z := range top.All("zone") {
 		p.Zones = append(p.Zones, z.Text("name"))
 	}
+	p.Drains = calendar.Limits{Fleet: 0.25, Zone: 0.5, Kind: 0.5, Cold: 20, Margin: 1.2, Guard: 5 * time.Second}
+	if d := top.One("drains"); d != nil {
+		p.Drains = calendar.Limits{Fleet: d.Number("fleet"), Zone: d.Number("zone"), Kind: d.Number("machine"),
+			Cold: d.Int("cold"), Margin: d.Number("margin"), Guard: time.Duration(d.Number("guard") * 1e6)}
+	}
+	p.Drains.ColdFor = time.Duration(rules.Number("cold-for") * 1e6)
 	p.Shards, p.Connections = 1, Shared
 	if sh := top.One("shards"); sh != nil {
 		p.Shards, p.Connections, p.PlaceBy = sh.Int("count"), Connections(sh.Word("connections")), sh.Word("place")
@@ -202,6 +222,11 @@
 		if j.Number("expiry") <= p.Margin+4*p.Cluster.Step {
 			fault(j, "<job-type>: expiry within the answer margin: nothing of it could be taken")
 		}
+		manner := shift.Usual(jt.Effect)
+		if j.Has("drain") {
+			manner = shift.Manner(j.Word("drain"))
+		}
+		p.Manners = append(p.Manners, manner)
 		p.Jobs = append(p.Jobs, j.Text("name"))
 		p.Expiry = append(p.Expiry, j.Number("expiry"))
 		p.Cluster.JobTypes = append(p.Cluster.JobTypes, jt)
--- a/internal/state/drains/drains.go
+++ b/internal/state/drains/drains.go
@@ -63,6 +63,12 @@
 	path string
 }
 
+// Any tells whether a folder has a store.
+func Any(folder string) bool {
+	_, err := os.Stat(filepath.Join(folder, "drains.db"))
+	return err == nil
+}
+
 // Open opens the store in a folder, or makes it. A damaged or later one is refused, not guessed at.
 func Open(folder string) (*Store, error) {
 	path := filepath.Join(folder, "drains.db")
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -217,6 +217,9 @@
 // SaveList keeps a list's text for the next start.
 func (f *Folder) SaveList(text []byte) error { return f.write("nodes", text) }
 
+// ReadList reads the last list of a folder that another process may hold, nil if there never was one.
+func ReadList(folder string) (*List, error) { return (&Folder{path: folder}).LoadList() }
+
 // LoadList reads the last list, nil if there never was one.
 func (f *Folder) LoadList() (*List, error) {
 	body, err := f.read("nodes")
