--- a/cmd/ravenpond/main.go
+++ b/cmd/ravenpond/main.go
@@ -21,6 +21,7 @@
 	"ravenpond/internal/lab/cores"
 	"ravenpond/internal/lab/drill"
 	"ravenpond/internal/lab/load"
+	"ravenpond/internal/lab/month"
 	"ravenpond/internal/serve"
 	"ravenpond/internal/site"
 )
@@ -38,6 +39,7 @@
 	Lab   struct {
 		Load  loadCommand  `cmd:"" help:"Load a scheduler on loopback and print its latency and CPU time."`
 		Cores coresCommand `cmd:"" help:"Measure several shards, and check that none ever shares an allocation."`
+		Month monthCommand `cmd:"" help:"Run a month of maintenance windows on a virtual clock."`
 	} `cmd:"" help:"Measurements and experiments."`
 }
 
@@ -209,6 +211,30 @@
 	return nil
 }
 
+type monthCommand struct {
+	Seed      uint64 `default:"1" help:"First seed."`
+	Seeds     uint64 `default:"1" help:"How many seeds."`
+	Days      int    `default:"30" help:"Days of each run."`
+	Processes int    `default:"8" help:"Scheduler processes."`
+}
+
+func (c *monthCommand) Run() error {
+	fmt.Printf("%6s %8s %6s %10s %8s %9s %7s %9s %6s  %-16s\n", "seed", "windows", "kept", "postponed", "refused", "offers", "moved",
+		"restarts", "halls", "trace")
+	late, overlaps := 0, 0
+	for seed := c.Seed; seed < c.Seed+c.Seeds; seed++ {
+		r := month.Run{Seed: seed, Days: c.Days, Processes: c.Processes}.Play()
+		fmt.Printf("%6d %8d %6d %10d %8d %9d %7d %9d %6d  %016x %s\n", seed, r.Windows, r.Kept, r.Postponed, r.Refused, r.Offers,
+			r.Moved, r.Restarts, r.Lost, r.Trace, r.First)
+		late, overlaps = late+r.Late, overlaps+r.Overlaps
+	}
+	fmt.Printf("late placements: %d\nforbidden overlaps: %d\n", late, overlaps)
+	if late+overlaps > 0 {
+		return fmt.Errorf("%d breaks", late+overlaps)
+	}
+	return nil
+}
+
 type coresCommand struct {
 	Counts []int         `default:"1,2,4,8" help:"Counts of shards."`
 	Nodes  int           `default:"130" help:"Stand-in nodes."`
--- a/internal/decide/calendar/calendar.go
+++ b/internal/decide/calendar/calendar.go
@@ -458,9 +458,10 @@
 	return names
 }
 
-// Opens says what speaks against opening a window now though it was kept, "" if nothing does: nodes that are lost
-// count as out. The veto of one process keeps its own placements going; it takes nothing from what others decided.
-func Opens(v Verdict, fleet []Node, lost map[string]bool, out map[string]bool, limits Limits) string {
+// Strained says what speaks against moving work off a window's nodes now, "" if nothing does: nodes that are lost
+// count as out. The window itself stands: that nothing new goes to its nodes must be the same at every process, and
+// what each knows of losses is not.
+func Strained(v Verdict, fleet []Node, lost map[string]bool, out map[string]bool, limits Limits) string {
 	gone, all := 0, max(1, len(fleet))
 	mine := map[string]bool{}
 	for _, n := range v.Nodes {
--- /dev/null
+++ b/internal/lab/month/peers.go
@@ -0,0 +1,151 @@
+package month
+
+import (
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+
+	"ravenpond/internal/decide/calendar"
+	"ravenpond/internal/proto/node"
+	"ravenpond/internal/state/drains"
+	"ravenpond/logic"
+)
+
+// arrival hands a process's word to a node's machine.
+type arrival struct {
+	s *spot
+	p *proc
+}
+
+func (a arrival) Offer(ticket uint64, try uint8, epoch uint32, timeout float64, job, tenant int, service, token uint64,
+	cores, memory float64) error {
+	a.s.late("offer", ticket)
+	a.s.m.Offer(a.s.w.now, a.p.name(), ticket, try, epoch, timeout, job, tenant, service, token, cores, memory)
+	return nil
+}
+func (a arrival) Recall(t uint64, n uint8) error {
+	a.s.m.Recall(a.s.w.now, a.p.name(), t, n)
+	return nil
+}
+func (a arrival) Stop(t uint64, n uint8) error  { a.s.m.Stop(a.s.w.now, a.p.name(), t, n); return nil }
+func (a arrival) Claim(t uint64, n uint8) error { a.s.m.Claim(a.s.w.now, a.p.name(), t, n); return nil }
+func (a arrival) Probe(seq uint64) error        { a.s.m.Probe(a.s.w.now, a.p.name(), seq); return nil }
+func (a arrival) Ping() error                   { return nil }
+func (a arrival) Tell() error                   { return nil }
+func (a arrival) Bye(string) error              { return nil }
+
+// say carries a node's word to a process, encoded.
+func (s *spot) say(sched string, b []byte) {
+	i, _ := strconv.Atoi(sched)
+	p := s.w.procs[i]
+	life, own := s.life, p.life
+	s.w.wire(func() {
+		if !p.down && s.life == life && p.life == own && !s.lost {
+			p.hear(s, b)
+			p.next = s.w.now
+		}
+	})
+}
+
+// Started and the others make a node its machine's voice.
+func (s *spot) Started(sched string, ticket uint64, try uint8, took float64) {
+	s.say(sched, node.AppendStarted(nil, ticket, try, took))
+}
+func (s *spot) Settled(sched string, ticket uint64, try uint8, outcome, reason int, report []float64) {
+	s.say(sched, node.AppendSettled(nil, ticket, try, outcome, reason, report))
+}
+func (s *spot) Noted(string, uint64, uint8, int, float64) {}
+func (s *spot) Reported(sched string, seq uint64, report []float64) {
+	s.say(sched, node.AppendReported(nil, seq, report))
+}
+func (s *spot) Claimed(sched string, ticket uint64, try uint8, claim, reason int) {
+	s.say(sched, node.AppendClaimed(nil, ticket, try, claim, reason))
+}
+func (s *spot) Ran(sched string, ticket uint64, try uint8) {
+	s.w.rep.Starts++
+	s.w.note("ran %s %x.%d at %d", sched, ticket, try, s.id)
+	if i, _ := strconv.Atoi(sched); s.w.now > s.w.procs[i].blind { // else nobody could have called it back
+		s.late("start", ticket)
+	}
+}
+func (s *spot) Fell() {}
+
+// reply hands a node's word to a process's engine.
+type reply struct {
+	p *proc
+	s *spot
+}
+
+var verdicts = [...]logic.Verdict{node.Ended: logic.Ended, node.Errored: logic.Errored, node.Refused: logic.Refused,
+	node.Barred: logic.Refused, node.Lost: logic.Broken, node.Stopped: logic.CalledOff, node.Unknown: logic.Broken}
+
+func (r reply) Started(t uint64, n uint8, took float64) error {
+	return r.p.eng.Started(r.p.clock(), r.s.id, t, n, took)
+}
+func (r reply) Settled(t uint64, n uint8, outcome, reason int, report []float64) error {
+	return r.p.eng.Settled(r.p.clock(), r.s.id, t, n, verdicts[outcome], logic.Reason(reason), report)
+}
+func (r reply) Noted(uint64, uint8, int, float64) error { return nil }
+func (r reply) Reported(seq uint64, report []float64) error {
+	return r.p.eng.Reported(r.p.clock(), r.s.id, seq, report)
+}
+func (r reply) Claimed(t uint64, n uint8, claim, reason int) error {
+	if claim < node.ClaimedOutcome {
+		r.p.eng.ClaimedHeld(r.p.clock(), r.s.id, t, n, claim == node.ClaimedRuns)
+	} else {
+		r.p.eng.ClaimedOver(r.p.clock(), r.s.id, t, n, verdicts[claim-node.ClaimedOutcome], logic.Reason(reason))
+	}
+	return nil
+}
+func (r reply) Held(t uint64, n uint8, state, job, tenant int, service, token uint64, cores, memory float64) error {
+	return r.p.eng.Held(r.p.clock(), r.s.id, t, n, state == 1, job, tenant, service, token, cores, memory)
+}
+func (r reply) HeldAll() error   { r.p.eng.HeldAll(r.p.clock(), r.s.id); return nil }
+func (r reply) Pong() error      { return nil }
+func (r reply) Bye(string) error { return nil }
+
+// memory is a store that outlives its process, as the one on disk does.
+type memory struct {
+	cal   *calendar.Calendar
+	begun []drains.Begun
+}
+
+func (m *memory) Calendar() (*calendar.Calendar, error) { return m.cal, nil }
+
+func (m *memory) find(window string, nominal time.Time) int {
+	return slices.IndexFunc(m.begun, func(b drains.Begun) bool {
+		return b.Verdict.Window == window && b.Verdict.Nominal.Equal(nominal)
+	})
+}
+
+func (m *memory) Begin(v calendar.Verdict, now time.Time) (drains.Begun, bool, error) {
+	if i := m.find(v.Window, v.Nominal); i >= 0 {
+		return m.begun[i], false, nil
+	}
+	b := drains.Begun{Verdict: v, Stage: drains.Opened, At: map[drains.Stage]time.Time{drains.Opened: now}}
+	m.begun = append(m.begun, b)
+	return b, true, nil
+}
+
+func (m *memory) Reach(window string, nominal time.Time, stage drains.Stage, now time.Time) error {
+	i := m.find(window, nominal)
+	if i < 0 {
+		return errors.New("never begun")
+	}
+	if stage > m.begun[i].Stage {
+		m.begun[i].Stage, m.begun[i].At[stage] = stage, now
+	}
+	return nil
+}
+
+func (m *memory) Open() (open []drains.Begun, err error) {
+	for _, b := range m.begun {
+		if b.Stage < drains.Closed {
+			open = append(open, b)
+		}
+	}
+	return open, nil
+}
+
+func (m *memory) Forget(time.Time) error { return nil }
--- a/internal/upkeep/upkeep.go
+++ b/internal/upkeep/upkeep.go
@@ -41,7 +41,8 @@
 	Load    *calendar.Load
 
 	told    map[string]bool // drains announced in this life of the process
-	veto    map[string]bool
+	spared  map[string]bool // and those whose work is left alone, as too much is lost
+	world   func(calendar.Verdict) string
 	last    time.Time
 	planned time.Time
 	plan    []calendar.Verdict
@@ -58,7 +59,7 @@
 // Tick does what is due. fleet is the node list as last heard, lost those of it that are not there.
 func (k *Keeper) Tick(now time.Time, fleet []calendar.Node, lost map[string]bool) error {
 	if k.told == nil {
-		k.told, k.veto = map[string]bool{}, map[string]bool{}
+		k.told, k.spared = map[string]bool{}, map[string]bool{}
 	}
 	cal, err := k.Store.Calendar()
 	if err != nil {
@@ -68,6 +69,13 @@
 	if err != nil {
 		return fmt.Errorf("drains: %w", err)
 	}
+	out := map[string]bool{}
+	for _, b := range open {
+		for _, n := range b.Verdict.Nodes {
+			out[n] = true
+		}
+	}
+	k.world = func(v calendar.Verdict) string { return calendar.Strained(v, fleet, lost, out, k.Limits) }
 	for _, b := range open { // first what was begun, by this life or an earlier one
 		if err := k.goOn(now, b, cal); err != nil {
 			return err
@@ -80,24 +88,11 @@
 			return fmt.Errorf("drains: %w", err)
 		}
 	}
-	out := map[string]bool{}
-	for _, b := range open {
-		for _, n := range b.Verdict.Nodes {
-			out[n] = true
-		}
-	}
 	for _, v := range k.plan {
 		if v.Outcome == calendar.Refused || now.Before(v.Drain) || !now.Before(v.End) || len(v.Nodes) == 0 ||
 			slices.ContainsFunc(open, func(b drains.Begun) bool { return name(b.Verdict) == name(v) }) || !stands(cal, v) {
 			continue
 		}
-		if why := calendar.Opens(v, fleet, lost, out, k.Limits); why != "" {
-			if !k.veto[name(v)] {
-				k.veto[name(v)] = true
-				k.Hands.Mode(fmt.Sprintf("window %s: not opened: %s", v.Window, why))
-			}
-			continue
-		}
 		b, fresh, err := k.Store.Begin(v, now)
 		if err != nil {
 			return fmt.Errorf("drains: %w", err)
@@ -154,6 +149,14 @@
 	if cancelled || !now.Before(v.End) {
 		return k.close(now, v, there, left, cancelled, reach)
 	}
+	if why := k.world(v); why != "" { // nothing new goes there, but what runs stays while the rest has no room for it
+		if !k.spared[name(v)] {
+			k.spared[name(v)] = true
+			k.Hands.Mode(fmt.Sprintf("window %s: work is left where it is: %s", v.Window, why))
+		}
+		return nil
+	}
+	delete(k.spared, name(v))
 	ms := func(t time.Time) float64 { return float64(t.UnixNano()) / 1e6 }
 	for job, n := range there {
 		if most := shift.Moves(k.Manners[job], ms(now), ms(v.Drain), ms(v.Start), ms(k.last), n, all); most > 0 {
