--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -30,6 +30,7 @@
 	Told                  // the list told a scheduler of a node: Word is its availability
 	Heard                 // the list answered a scheduler, whatever it told; Word tells a call that failed
 	Listed                // the list itself learned of a node: Word is its availability
+	Scheduled             // the calendar takes a node out, or Word says that it is back
 	NodeBorn              // a node began a life: cold if Word says so
 	NodeFell              // a node was pushed over
 	Linked                // a scheduler's connection to a node stands
@@ -42,7 +43,7 @@
 )
 
 var kindNames = [...]string{"born", "killed", "paused", "resumed", "asked", "answered", "gave-up", "told", "heard",
-	"listed", "node-born", "node-fell", "linked", "unlinked", "offered", "recalled", "ran", "confirmed",
+	"listed", "scheduled", "node-born", "node-fell", "linked", "unlinked", "offered", "recalled", "ran", "confirmed",
 	"concluded"}
 
 func (k Kind) String() string { return kindNames[k] }
@@ -144,7 +145,7 @@
 // Check returns every broken rule. Records must be in order of time.
 func Check(records []Record, rules Rules) []Break {
 	c := &checker{rules: rules, scheds: map[string]*sched{}, asks: map[askName]*ask{}, nodes: map[uint32]*node{},
-		listed: map[uint32]float64{}}
+		listed: map[uint32]float64{}, windows: map[uint32]float64{}}
 	for i := range records {
 		c.record(&records[i])
 	}
@@ -215,12 +216,13 @@
 }
 
 type checker struct {
-	rules  Rules
-	scheds map[string]*sched
-	asks   map[askName]*ask
-	nodes  map[uint32]*node
-	listed map[uint32]float64 // since when not ready
-	breaks []Break
+	rules   Rules
+	scheds  map[string]*sched
+	asks    map[askName]*ask
+	nodes   map[uint32]*node
+	listed  map[uint32]float64 // since when not ready
+	windows map[uint32]float64 // since when out by the calendar
+	breaks  []Break
 }
 
 func (c *checker) fail(rule int, at float64, format string, args ...any) {
@@ -284,6 +286,12 @@
 		} else if _, ok := c.listed[r.Node]; !ok {
 			c.listed[r.Node] = r.At
 		}
+	case Scheduled:
+		if r.Word == "back" {
+			delete(c.windows, r.Node)
+		} else if _, ok := c.windows[r.Node]; !ok {
+			c.windows[r.Node] = r.At
+		}
 	case NodeBorn:
 		c.nodes[r.Node] = &node{born: r.At, cold: r.Word == "cold"}
 	case NodeFell:
@@ -411,6 +419,9 @@
 				r.At-since, r.At-s.heard)
 		}
 	}
+	if since, ok := c.windows[r.Node]; ok && r.At > max(since, s.resumed)+c.rules.Grace+slack {
+		c.fail(3, r.At, "offer to node %d, which the calendar took out %.0f ms ago", r.Node, r.At-since)
+	}
 	c.coldOffer(r)
 	p := &place{ticket: r.Ticket, try: r.Try, node: r.Node, token: r.Token, service: r.Service, job: r.Job, at: r.At,
 		until: r.Until}
--- a/internal/lab/drill/day.go
+++ b/internal/lab/drill/day.go
@@ -62,6 +62,15 @@
 		{Name: "use", Kind: sheet.Number, Must: true, Min: 0.01, Max: 2},
 		{Name: "priority", Kind: sheet.Whole, Default: "0", Min: 0, Max: 9},
 	}},
+	{Name: "window", Key: "name", Attrs: []sheet.Attr{ // a maintenance window in every scheduler's calendar
+		{Name: "name", Kind: sheet.Name, Must: true},
+		{Name: "at", Kind: sheet.Duration, Must: true, Min: 5000, Max: 3600e3}, // the nodes go out
+		{Name: "lead", Kind: sheet.Duration, Default: "4s", Min: 0, Max: 3600e3},
+		{Name: "for", Kind: sheet.Duration, Must: true, Min: 1000, Max: 3600e3},
+		{Name: "cell", Kind: sheet.Name},
+		{Name: "zone", Kind: sheet.Name},
+		{Name: "ending", Kind: sheet.Word, Default: "release", Words: []string{"release", "sweep", "hold"}},
+	}},
 	{Name: "trouble", Attrs: []sheet.Attr{
 		{Name: "kind", Kind: sheet.Word, Must: true, Words: Troubles},
 		{Name: "at", Kind: sheet.Duration, Must: true, Min: 0, Max: 3600e3},
@@ -102,6 +111,12 @@
 	line         int
 }
 
+type window struct {
+	name, cell, zone string
+	at, lead, last   float64
+	ending           int
+}
+
 // Day is a day that can be played at a site.
 type Day struct {
 	Name                 string
@@ -110,6 +125,7 @@
 	fleets               []fleet
 	works                []work
 	troubles             []trouble
+	windows              []window
 	look                 float64
 	line, starts, keeps  int
 	noProgram, coldFrom  float64
@@ -160,6 +176,13 @@
 	if sum < 0.999 || sum > 1.001 {
 		faults = append(faults, sheet.Fault{Line: top.Line, Text: fmt.Sprintf("parts of the works sum to %.4g, not 1", sum)})
 	}
+	for _, w := range top.All("window") {
+		if w.Has("cell") == w.Has("zone") {
+			faults = append(faults, sheet.Fault{Line: w.Line, Text: "a window needs a cell or a zone"})
+		}
+		d.windows = append(d.windows, window{w.Text("name"), w.Text("cell"), w.Text("zone"), w.Number("at"), w.Number("lead"),
+			w.Number("for"), w.Word("ending")})
+	}
 	for _, t := range top.All("trouble") {
 		index(t, "zone", "zone", place.Zones)
 		index(t, "tenant", "tenant", place.Tenants)
--- a/internal/lab/drill/run.go
+++ b/internal/lab/drill/run.go
@@ -18,9 +18,11 @@
 	"time"
 
 	"ravenpond/internal/audit"
+	"ravenpond/internal/decide/calendar"
 	"ravenpond/internal/serve"
 	"ravenpond/internal/site"
 	"ravenpond/internal/standin"
+	"ravenpond/internal/state/drains"
 )
 
 // Drill is what is to be played.
@@ -62,6 +64,7 @@
 	procs  []*proc
 	owners []*standin.Owner
 	site   string // path
+	dawn   time.Time
 	rate   float64
 	flood  map[string]float64 // factor by tenant
 	mu     sync.Mutex
@@ -79,7 +82,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	p := &player{Drill: d, ctx: ctx, w: standin.NewWorld(), rng: rand.New(rand.NewPCG(d.Seed, 3)),
-		groups: map[string]*standin.Group{}, rate: 1, flood: map[string]float64{}}
+		groups: map[string]*standin.Group{}, dawn: time.Now().Add(time.Second), rate: 1, flood: map[string]float64{}}
 	if err := p.begin(); err != nil {
 		stop()
 		p.end()
@@ -191,6 +194,9 @@
 			return err
 		}
 	}
+	if err := p.schedule(state); err != nil {
+		return err
+	}
 	args := append(slices.Clone(p.Command[1:]), "serve", "--site", p.site, "--state", state, "--name", pr.name,
 		"--index", strconv.Itoa(pr.index), "--seed", strconv.FormatUint(p.Seed+uint64(pr.index)*977+1, 10),
 		"--address-file", file)
@@ -220,6 +226,55 @@
 	return fmt.Errorf("scheduler %s did not begin within 10 s, see its log", pr.name)
 }
 
+// schedule puts the day's windows into a scheduler's calendar, before its first life begins.
+func (p *player) schedule(folder string) error {
+	if len(p.Day.windows) == 0 || drains.Any(folder) {
+		return nil
+	}
+	cal := &calendar.Calendar{}
+	for _, w := range p.Day.windows {
+		win := calendar.Window{ID: w.name, Reach: calendar.Cell, Place: w.cell, Start: p.wall(w.at), Last: time.Duration(w.last * 1e6),
+			Lead: time.Duration(w.lead * 1e6), End: calendar.Ending(w.ending)}
+		if w.zone != "" {
+			win.Reach, win.Place = calendar.Zone, w.zone
+		}
+		cal.Windows = append(cal.Windows, win)
+	}
+	store, err := drains.Open(folder)
+	if err != nil {
+		return err
+	}
+	return errors.Join(store.Add(cal, time.Now()), store.Close())
+}
+
+// wall is a time of the day on the wall clock, in whole seconds as a calendar has them.
+func (p *player) wall(ms float64) time.Time {
+	return p.dawn.Add(time.Duration(ms * 1e6)).UTC().Truncate(time.Second)
+}
+
+// windows records when the calendar takes nodes out and brings them back.
+func (p *player) windows() {
+	for _, w := range p.Day.windows {
+		mark := func(at time.Time, word string) {
+			p.goes(func() {
+				if !p.sleep(float64(time.Until(at)) / 1e6) {
+					return
+				}
+				p.Say("%6.1f s  window %s: %s", p.w.Now()/1000, w.name, word)
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				for _, n := range p.nodes {
+					if w.cell != "" && n.Cell == w.cell || w.zone != "" && n.Zone == w.zone {
+						p.w.Trace.Add(audit.Record{At: p.w.Now(), Kind: audit.Scheduled, Node: n.ID, Word: word})
+					}
+				}
+			})
+		}
+		mark(p.wall(w.at-w.lead), "out") // from here on the grace runs
+		mark(p.wall(w.at+w.last).Add(-time.Second), "back")
+	}
+}
+
 func (pr *proc) where() string {
 	pr.mu.Lock()
 	defer pr.mu.Unlock()
@@ -278,6 +333,7 @@
 // play lets wants come, in an open loop, and troubles strike at their times.
 func (p *player) play() {
 	begin := p.w.Now()
+	p.windows()
 	for _, tr := range p.Day.troubles {
 		rng := rand.New(rand.NewPCG(p.Seed, uint64(tr.line)))
 		p.goes(func() {
@@ -541,15 +597,23 @@
 // table counts asks by the trouble in which they were made.
 func (p *player) table() []row {
 	rows := []row{{name: "whole day"}}
+	for _, w := range p.Day.windows {
+		rows = append(rows, row{name: "window " + w.name})
+	}
 	for _, tr := range p.Day.troubles {
 		rows = append(rows, row{name: fmt.Sprintf("%s, %.0f s", Troubles[tr.kind], tr.at/1000)})
 	}
 	for _, o := range p.owners {
 		for _, t := range o.Tallies() {
 			rows[0].add(t)
+			for i, w := range p.Day.windows {
+				if t.At >= w.at-w.lead && t.At < w.at+w.last {
+					rows[i+1].add(t)
+				}
+			}
 			for i, tr := range p.Day.troubles {
 				if t.At >= tr.at && t.At < tr.at+tr.last+2000 {
-					rows[i+1].add(t)
+					rows[i+1+len(p.Day.windows)].add(t)
 				}
 			}
 		}
--- a/internal/upkeep/upkeep.go
+++ b/internal/upkeep/upkeep.go
@@ -45,6 +45,7 @@
 	world   func(calendar.Verdict) string
 	last    time.Time
 	planned time.Time
+	made    [4]int // of what the plan was made
 	plan    []calendar.Verdict
 }
 
@@ -81,8 +82,8 @@
 			return err
 		}
 	}
-	if k.planned.IsZero() || now.Sub(k.planned) > again || now.Before(k.planned) {
-		k.planned = now
+	if made := mark(cal, fleet); made != k.made || now.Sub(k.planned) > again || now.Before(k.planned) {
+		k.planned, k.made = now, made
 		k.plan = calendar.Plan(cal, fleet, k.Limits, k.Load, now.Add(-8*24*time.Hour), now.Add(8*24*time.Hour))
 		if err := k.Store.Forget(now.Add(-keepClosed)); err != nil {
 			return fmt.Errorf("drains: %w", err)
@@ -111,6 +112,15 @@
 	return nil
 }
 
+// mark tells calendars and fleets apart that differ in size; any other change is taken up when the plan is made anew.
+func mark(cal *calendar.Calendar, fleet []calendar.Node) [4]int {
+	cancelled := 0
+	for i := range cal.Windows {
+		cancelled += len(cal.Windows[i].Except)
+	}
+	return [4]int{len(cal.Windows), len(cal.Protected), cancelled, 1 + len(fleet)}
+}
+
 // stands tells whether the calendar still has an occurrence.
 func stands(cal *calendar.Calendar, v calendar.Verdict) bool {
 	i := slices.IndexFunc(cal.Windows, func(w calendar.Window) bool { return w.ID == v.Window })
