--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -63,6 +63,7 @@
 	all     map[Name]*Entry
 	barred  map[Name]float64 // those that were fenced with a try out, until its time is over
 	spare   []*Entry
+	open    int    // entries that are not answered
 	Epoch   uint32 // of what is taken now; raised by every fence, never lower than in an earlier life
 	Trusted bool   // for tests: gives leave to any epoch, which must be found
 }
@@ -72,9 +73,20 @@
 	return &Ledger{jobs: jobs, all: map[Name]*Entry{}, barred: map[Name]float64{}, Epoch: epoch}
 }
 
-// Len is the number of entries.
+// Len is the number of entries, Open that of those not answered yet.
 func (l *Ledger) Len() int { return len(l.all) }
 
+// Open is the number of entries that are not answered yet.
+func (l *Ledger) Open() int { return l.open }
+
+// answered marks an entry.
+func (l *Ledger) answered(en *Entry) {
+	if !en.Answered {
+		en.Answered = true
+		l.open--
+	}
+}
+
 // Look tells the owner of an allocation.
 func (l *Ledger) Look(now float64, n Name) (shard int, s State) {
 	if en := l.all[n]; en != nil {
@@ -97,6 +109,7 @@
 	}
 	*en = Entry{Ask: ask, Shard: shard, Epoch: l.Epoch}
 	l.all[n] = en
+	l.open++
 	return l.Epoch
 }
 
@@ -133,7 +146,7 @@
 	if en == nil || en.Shard != shard || en.Epoch != epoch || en.Answered {
 		return false
 	}
-	en.Answered = true
+	l.answered(en)
 	return true
 }
 
@@ -143,11 +156,12 @@
 		if en.Shard != shard {
 			return 0, false
 		}
-		en.Answered, en.Out = true, false
+		l.answered(en)
+		en.Out = false
 		return en.Epoch, true
 	}
 	epoch = l.Take(n, shard, ask)
-	l.all[n].Answered = true
+	l.answered(l.all[n])
 	return epoch, true
 }
 
@@ -157,6 +171,7 @@
 	if en == nil || en.Shard != shard || en.Epoch != epoch {
 		return false
 	}
+	l.answered(en)
 	delete(l.all, n)
 	l.spare = append(l.spare, en)
 	return true
@@ -194,6 +209,7 @@
 	}
 	slices.SortFunc(all, byName)
 	for _, o := range all {
+		l.answered(l.all[o.Name])
 		l.spare = append(l.spare, l.all[o.Name])
 		delete(l.all, o.Name)
 		if o.Entry.Out && l.jobs[o.Entry.Job].Effect != logic.Restartable {
@@ -210,7 +226,7 @@
 	var all []Orphan
 	for n, en := range l.all {
 		if en.Shard == shard && !en.Answered && en.Expiry-now < within {
-			en.Answered = true
+			l.answered(en)
 			o := Orphan{Name: n, Entry: *en, Fate: Fails}
 			if j := &l.jobs[en.Job]; doubt.Withdrawn(j.Effect, j.Group, en.Out, en.MayHave) {
 				o.Fate = Declines
--- a/internal/decide/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -104,6 +104,17 @@
 			}
 			var views [3]view
 			answers, ran, now := 0, false, 0.0
+			defer func() {
+				open := 0
+				for _, en := range l.all {
+					if !en.Answered {
+						open++
+					}
+				}
+				if open != l.Open() {
+					t.Fatalf("%d open, counted %d", open, l.Open())
+				}
+			}()
 			for range rapid.IntRange(1, 40).Draw(t, "steps") {
 				now += 10
 				at := rapid.IntRange(0, 2).Draw(t, "shard")
--- a/internal/serve/owners.go
+++ b/internal/serve/owners.go
@@ -353,6 +353,8 @@
 	case known == ledger.Barring:
 		why = "earlier-try-out"
 	case known == ledger.Known:
+	case s.ledger.Open() >= s.who.Place.Open:
+		why = "full"
 	case now < s.resting[a.Service]:
 		why = "shard-fenced"
 	default:
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -84,9 +84,9 @@
 	dog     *watch.Dog
 	shards  []*shard // the present life of each
 	lives   map[uint32]*shard
-	lost    map[ledger.Name]ledger.Ask // what ran at a fenced shard and is to be found again
-	resting map[uint64]float64         // services that wait for that, until a time
-	out     map[uint32]bool            // nodes that are out for maintenance
+	lost    map[ledger.Name]lostAsk // what ran at a fenced shard and is to be found again
+	resting map[uint64]float64      // services that wait for that, until a time
+	out     map[uint32]bool         // nodes that are out for maintenance
 
 	mu       sync.Mutex
 	owners   map[uint32]*owner
@@ -124,7 +124,7 @@
 	place := who.Place
 	s := &server{who: who, log: who.Log, clock: newClock(), folder: folder, list: last, calls: make(chan call, 8),
 		owners: map[uint32]*owner{}, cells: map[string]int{}, lives: map[uint32]*shard{},
-		lost: map[ledger.Name]ledger.Ask{}, resting: map[uint64]float64{}, out: map[uint32]bool{}, known: map[string]calendar.Node{},
+		lost: map[ledger.Name]lostAsk{}, resting: map[uint64]float64{}, out: map[uint32]bool{}, known: map[string]calendar.Node{},
 		goneAt: map[string]time.Time{}}
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx)) // ends after the last answers
 	defer stop()
--- a/internal/serve/shard.go
+++ b/internal/serve/shard.go
@@ -180,7 +180,8 @@
 		return 0, 0, 0, false
 	}
 	before := s.ledger.Len()
-	ask, lost := s.lost[n]
+	gone, lost := s.lost[n]
+	ask := gone.Ask
 	if epoch, ok = s.ledger.Found(n, d.sh.index, ledger.Ask{Job: job, Service: service, Cores: cores, Memory: memory}); !ok {
 		return 0, 0, 0, false
 	}
@@ -264,7 +265,7 @@
 			}
 		}
 		if o.Fate == ledger.Continues {
-			s.lost[o.Name] = o.Entry.Ask
+			s.lost[o.Name] = lostAsk{o.Entry.Ask, now + findFor}
 		}
 		n[o.Fate]++
 	}
@@ -303,6 +304,26 @@
 	}
 }
 
+// lostAsk is what ran at a fenced shard, and until when it may be found again.
+type lostAsk struct {
+	ledger.Ask
+	until float64
+}
+
+// findFor is how long what ran at a fenced shard may take to be found: its nodes may be away just then.
+const findFor = 15000
+
+// notFound tells owners of what ran at a fenced shard and was not found again.
+func (s *server) notFound(now float64) (gone []ledger.Ask) {
+	for n, a := range s.lost {
+		if now > a.until {
+			delete(s.lost, n)
+			gone = append(gone, a.Ask)
+		}
+	}
+	return gone
+}
+
 // restFor is how long a service whose tasks must be spread rests after its shard was fenced: the time in which the
 // shard's next life starts and hears from the nodes what runs.
 const restFor = 2500
@@ -343,11 +364,17 @@
 				delete(s.resting, service)
 			}
 		}
+		gone := s.notFound(now)
 		var stuck []*shard
 		for _, i := range fence {
 			stuck = append(stuck, s.shards[i])
 		}
 		s.desk.Unlock()
+		for _, a := range gone {
+			if o := s.owner(a.Owner); o != nil {
+				o.over(a.Ref, logic.Broken, logic.NotTold)
+			}
+		}
 		for _, sh := range stuck {
 			s.fence(sh, fmt.Sprintf("no sign of life for %.0f ms", beats[sh.index]))
 		}
