--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -24,7 +24,9 @@
 }
 
 func TestCheck(t *testing.T) {
-	told := func(at float64, word string) Record { return Record{At: at, Kind: Told, Sched: "s", Node: 1, Word: word} }
+	told := func(at float64, word string) Record {
+		return Record{At: at, Kind: Told, Sched: "s", Node: 1, Word: word}
+	}
 	heard := Record{At: 1, Kind: Heard, Sched: "s"}
 	listed := Record{At: 5000, Kind: Listed, Node: 1, Word: "draining"}
 	for _, c := range []struct {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -439,6 +439,34 @@
 	})
 }
 
+// TestCalendarIsNoList guards against a calendar's word counting as one of the list, which then is asked for late.
+func TestCalendarIsNoList(t *testing.T) {
+	asked := map[bool]float64{}
+	for _, calendar := range []bool{false, true} {
+		s := begin(t, false)
+		s.e.terms.Cluster.AsksForList = true
+		follow := &follows{script: s}
+		s.e.edge = follow
+		if calendar {
+			s.e.Calendar(s.now, []uint32{1}, true)
+		}
+		for s.now < 30000 && follow.at == 0 {
+			s.pass(10)
+		}
+		asked[calendar] = follow.at
+	}
+	if asked[false] != asked[true] || asked[true] == 0 {
+		t.Errorf("first asked for the list at %g, with a calendar at %g", asked[false], asked[true])
+	}
+}
+
+type follows struct {
+	*script
+	at float64
+}
+
+func (f *follows) Follow(bool) { f.at = f.now }
+
 func TestRestart(t *testing.T) {
 	s := begin(t, true)
 	s.e.Linked(s.now, 2, 1)
--- a/internal/engine/nodes.go
+++ b/internal/engine/nodes.go
@@ -67,9 +67,8 @@
 // the list has as ready is ready again; if it was started anew meanwhile, the list says so and it is paced as cold.
 func (e *Engine) Calendar(now float64, ids []uint32, out bool) {
 	e.now, e.news = now, true
-	e.sched.ListBegin(now, logic.ListChanges)
-	e.listKind = logic.ListChanges
-	for _, id := range ids {
+	e.sched.ListBegin(now, logic.ListChanges) // without an end: to the module that would be a word of the list itself,
+	for _, id := range ids {                  // and it would take longer to ask for the next
 		if out {
 			e.outs[id] = true
 		} else {
@@ -87,7 +86,6 @@
 			e.clear(nd)
 		}
 	}
-	e.sched.ListEnd(now)
 }
 
 // clear calls back what does not run yet at a node.
--- a/internal/lab/drill/drill_test.go
+++ b/internal/lab/drill/drill_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -44,7 +45,7 @@
 	ctx, stop := Interrupted()
 	defer stop()
 	return serve.Run(ctx, serve.Scheduler{Place: place, Name: flags["--name"], Index: index, Folder: flags["--state"],
-		Seed: seed, Log: zerolog.Nop(), Ready: func(a net.Addr) {
+		Seed: seed, Log: zerolog.New(os.Stderr), Ready: func(a net.Addr) {
 			if err := os.WriteFile(flags["--address-file"]+".new", []byte(a.String()+"\n"), 0o600); err == nil {
 				_ = os.Rename(flags["--address-file"]+".new", flags["--address-file"])
 			}
@@ -52,6 +53,7 @@
 }
 
 const shortTroubles = `
+  <window name="w" at="9s" lead="3s" for="5s" cell="quay-1"/>
   <trouble kind="list-away" at="2500ms" for="3s"/>
   <trouble kind="answers-lost" at="3s" for="2s" part="0.3" size="0.8"/>
   <trouble kind="kill" at="4s" part="0.34"/>
@@ -69,20 +71,34 @@
 	if len(faults) > 0 {
 		t.Fatal(faults)
 	}
-	text := DefaultDay[:strings.Index(DefaultDay, "  <trouble")] + shortTroubles
+	text := DefaultDay[:strings.Index(DefaultDay, "  <window")] + shortTroubles
 	text = strings.NewReplacer(`lasts="62s"`, `lasts="23s"`, `rate="34"`, `rate="60"`).Replace(text)
 	day, faults := ReadDay(strings.NewReader(text), place)
 	if len(faults) > 0 {
 		t.Fatal(faults)
 	}
+	dir := t.TempDir()
 	res, err := Play(context.Background(), Drill{Day: day, Place: place, Site: DefaultSite, Command: []string{os.Args[0]},
-		Seed: 2, Out: t.TempDir(), Say: func(string, ...any) {}})
+		Seed: 2, Out: dir, Say: func(string, ...any) {}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, b := range res.Breaks {
 		t.Error(b)
 	}
+	opened := 0
+	for i := range day.schedulers {
+		log, err := os.ReadFile(filepath.Join(dir, fmt.Sprintf("s%d.log", i)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(string(log), "window w: 4 nodes drain") {
+			opened++
+		}
+	}
+	if opened != day.schedulers {
+		t.Errorf("the window was opened by %d of %d schedulers", opened, day.schedulers)
+	}
 	if row := res.rows[0]; row.served < 300 || row.asks != row.served+row.declined+row.failed+row.other {
 		t.Errorf("%+v", row)
 	}
--- a/internal/serve/drains.go
+++ b/internal/serve/drains.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"time"
@@ -26,7 +27,7 @@
 		case <-tick.C:
 		}
 		fault := ""
-		if err := s.drainsOnce(k); err != nil {
+		if err := s.drainsOnce(k); err != nil && !errors.Is(err, drains.ErrHeld) { // the command line has it just now
 			fault = err.Error()
 		}
 		if fault != lastFault && fault != "" { // windows are not carried out meanwhile; placing goes on
--- a/internal/state/drains/drains.go
+++ b/internal/state/drains/drains.go
@@ -98,27 +98,22 @@
 			err = fmt.Errorf("%w: %v", ErrDamaged, p)
 		}
 	}()
-	return s.db.Update(func(tx *bbolt.Tx) error {
+	fresh := false
+	err = s.db.View(func(tx *bbolt.Tx) error {
 		for fault := range tx.Check() {
 			return fmt.Errorf("%w: %w", ErrDamaged, fault)
 		}
-		meta, err := tx.CreateBucketIfNotExists(metaBucket)
-		if err != nil {
-			return err
+		meta := tx.Bucket(metaBucket)
+		if fresh = meta == nil; fresh {
+			return nil
 		}
-		if v := meta.Get(formatKey); v == nil {
-			if err := meta.Put(formatKey, []byte{Format}); err != nil {
-				return err
-			}
-		} else if len(v) != 1 {
+		if v := meta.Get(formatKey); len(v) != 1 {
 			return ErrDamaged
 		} else if v[0] > Format {
 			return fmt.Errorf("format %d, this program reads up to %d: %w", v[0], Format, ErrNewer)
 		}
-		for _, name := range [][]byte{eventBucket, begunBucket} {
-			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
-				return err
-			}
+		if tx.Bucket(eventBucket) == nil || tx.Bucket(begunBucket) == nil {
+			return ErrDamaged
 		}
 		if _, err := calendarOf(tx); err != nil {
 			return fmt.Errorf("%w: %w", ErrDamaged, err)
@@ -128,6 +123,17 @@
 		}
 		return nil
 	})
+	if err != nil || !fresh {
+		return err
+	}
+	return s.db.Update(func(tx *bbolt.Tx) error { // all buckets or none
+		for _, name := range [][]byte{metaBucket, eventBucket, begunBucket} {
+			if _, err := tx.CreateBucket(name); err != nil {
+				return err
+			}
+		}
+		return tx.Bucket(metaBucket).Put(formatKey, []byte{Format})
+	})
 }
 
 // Close closes the store.
--- a/internal/upkeep/upkeep.go
+++ b/internal/upkeep/upkeep.go
@@ -45,6 +45,7 @@
 	world   func(calendar.Verdict) string
 	last    time.Time
 	planned time.Time
+	forgot  time.Time
 	made    [4]int // of what the plan was made
 	plan    []calendar.Verdict
 }
@@ -85,9 +86,6 @@
 	if made := mark(cal, fleet); made != k.made || now.Sub(k.planned) > again || now.Before(k.planned) {
 		k.planned, k.made = now, made
 		k.plan = calendar.Plan(cal, fleet, k.Limits, k.Load, now.Add(-8*24*time.Hour), now.Add(8*24*time.Hour))
-		if err := k.Store.Forget(now.Add(-keepClosed)); err != nil {
-			return fmt.Errorf("drains: %w", err)
-		}
 	}
 	for _, v := range k.plan {
 		if v.Outcome == calendar.Refused || now.Before(v.Drain) || !now.Before(v.End) || len(v.Nodes) == 0 ||
@@ -108,6 +106,12 @@
 			return err
 		}
 	}
+	if now.Sub(k.forgot) > time.Hour {
+		k.forgot = now
+		if err := k.Store.Forget(now.Add(-keepClosed)); err != nil {
+			return fmt.Errorf("drains: %w", err)
+		}
+	}
 	k.last = now
 	return nil
 }
