Admission sees asks that lie unread before the door

Each owner's lag is now told from its own sent-at times, whatever the clocks differ by, and shuts the gate like an inbox that waits.

--- a/cmd/ravenpond/main.go
+++ b/cmd/ravenpond/main.go
@@ -222,10 +222,20 @@
 	fmt.Printf("%6s %8s %6s %10s %8s %9s %7s %9s %6s  %-16s\n", "seed", "windows", "kept", "postponed", "refused", "offers", "moved",
 		"restarts", "halls", "trace")
 	late, overlaps := 0, 0
-	for seed := c.Seed; seed < c.Seed+c.Seeds; seed++ {
-		r := month.Run{Seed: seed, Days: c.Days, Processes: c.Processes}.Play()
-		fmt.Printf("%6d %8d %6d %10d %8d %9d %7d %9d %6d  %016x %s\n", seed, r.Windows, r.Kept, r.Postponed, r.Refused, r.Offers,
-			r.Moved, r.Restarts, r.Lost, r.Trace, r.First)
+	results := make([]chan month.Report, c.Seeds)
+	room := make(chan struct{}, runtime.NumCPU())
+	for i := range results {
+		results[i] = make(chan month.Report, 1)
+		go func() {
+			room <- struct{}{}
+			results[i] <- month.Run{Seed: c.Seed + uint64(i), Days: c.Days, Processes: c.Processes}.Play()
+			<-room
+		}()
+	}
+	for i, got := range results {
+		r := <-got
+		fmt.Printf("%6d %8d %6d %10d %8d %9d %7d %9d %6d  %016x %s\n", c.Seed+uint64(i), r.Windows, r.Kept, r.Postponed, r.Refused,
+			r.Offers, r.Moved, r.Restarts, r.Lost, r.Trace, r.First)
 		late, overlaps = late+r.Late, overlaps+r.Overlaps
 	}
 	fmt.Printf("late placements: %d\nforbidden overlaps: %d\n", late, overlaps)
--- a/internal/decide/admit/admit.go
+++ b/internal/decide/admit/admit.go
@@ -99,3 +99,27 @@
 
 // Shut tells whether the gate is.
 func (g *Gate) Shut() bool { return g.shut }
+
+// Lag tells how long an owner's asks lie unread on their way, from the times at which its clock says they were sent.
+// The two clocks need not agree: the least difference of the last while is taken for what they are apart and what
+// the way always takes. It guards against queues that form before the door, where no inbox shows them.
+type Lag struct {
+	least, next float64 // of the last span, and of the one that runs
+	since       float64
+	known       bool
+}
+
+const lagSpan = 10000 // ms after which the least difference is renewed, so that drifting clocks do no harm
+
+// Waited takes an ask: the present time and when it was sent, in ms of each side's clock.
+func (l *Lag) Waited(now, sent float64) float64 {
+	d := now - sent
+	switch {
+	case !l.known:
+		*l = Lag{d, d, now, true}
+	case now-l.since > lagSpan:
+		l.least, l.next, l.since = min(l.next, d), d, now
+	}
+	l.least, l.next = min(l.least, d), min(l.next, d)
+	return d - l.least
+}
--- a/internal/decide/admit/admit_test.go
+++ b/internal/decide/admit/admit_test.go
@@ -66,3 +66,19 @@
 		})
 	}
 }
+
+func TestLag(t *testing.T) {
+	for _, skew := range []float64{0, -5000, 5000} {
+		var l Lag
+		for now := 1000.0; now < 60000; now += 100 {
+			queue := 0.0
+			if now > 20000 && now < 25000 {
+				queue = 300
+			}
+			sent := now - queue - 2 + skew + now/1e5 // a clock that drifts by 10 us a second
+			if got := l.Waited(now, sent); got < queue-0.5 || got > queue+0.5 {
+				t.Fatalf("skew %g at %g: waited %g, want %g", skew, now, got, queue)
+			}
+		}
+	}
+}
--- a/internal/serve/owners.go
+++ b/internal/serve/owners.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/creachadair/jrpc2"
 
+	"ravenpond/internal/decide/admit"
 	"ravenpond/internal/decide/ledger"
 	"ravenpond/internal/engine"
 	"ravenpond/internal/proto/owners"
@@ -34,6 +35,7 @@
 
 	mu   sync.Mutex
 	asks map[uint64]asked // by ref: what is open or runs
+	lag  admit.Lag        // of what it sends, as far as it says when
 }
 
 // asked is where an ask is. It is answered once, whoever tries to.
@@ -328,8 +330,13 @@
 	}
 	// An ask that lay unread while the process stood still has less time left. An owner's clock that is behind only
 	// shortens the time further; one that is ahead changes nothing.
-	if late := float64(time.Now().UnixMilli()) - ask.SentAt; ask.SentAt > 0 && late > 0 {
-		ask.Within -= late
+	unread := 0.0
+	if ask.SentAt > 0 {
+		wall := float64(time.Now().UnixMilli())
+		ask.Within -= max(0, wall-ask.SentAt)
+		o.mu.Lock()
+		unread = o.lag.Waited(wall, ask.SentAt)
+		o.mu.Unlock()
 	}
 	if !o.begin(ask.Ref, o.s.clock.now()+ask.Within) {
 		return nil, jrpc2.Errorf(jrpc2.InvalidParams, "ref: %d is not over", ask.Ref)
@@ -337,12 +344,13 @@
 	name := ledger.Name{Tenant: tenant, Token: Token(ask.Tenant, ask.Key)}
 	a := ledger.Ask{Owner: o.id, Ref: ask.Ref, Job: job, Service: Service(ask.Tenant, ask.Service), Cores: ask.Cores,
 		Memory: ask.Memory}
-	o.s.allocate(o, name, a, ask.Within)
+	o.s.allocate(o, name, a, ask.Within, unread)
 	return true, nil
 }
 
 // allocate finds the shard for an ask: the one that acts for its key already, else the one that the table gives.
-func (s *server) allocate(o *owner, name ledger.Name, a ledger.Ask, left float64) {
+// unread is how long the ask lay on its way beyond what asks always do, in ms.
+func (s *server) allocate(o *owner, name ledger.Name, a ledger.Ask, left, unread float64) {
 	now := s.clock.now()
 	a.Expiry = now + left
 	pinned := s.who.Place.Cluster.JobTypes[a.Job].Spread != logic.Anywhere
@@ -360,7 +368,7 @@
 	default:
 		if at = s.table.Find(a.Service, name.Tenant, pinned); at < 0 {
 			why = "no-shard"
-		} else if sh := s.shards[at]; !sh.gate.Enter(now, sh.inbox.waited(now)) {
+		} else if sh := s.shards[at]; !sh.gate.Enter(now, max(unread, sh.inbox.waited(now))) {
 			why = "behind"
 		} else {
 			s.table.Join(at, a.Service)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -287,7 +287,7 @@
 		return false
 	}
 	l.o.s.allocate(l.o, ledger.Name{Tenant: tenant, Token: token}, ledger.Ask{Owner: l.o.id, Ref: ref, Job: jobType,
-		Service: service, Cores: cores, Memory: memory}, within)
+		Service: service, Cores: cores, Memory: memory}, within, 0)
 	return true
 }
 
