--- a/internal/lab/drill/run.go
+++ b/internal/lab/drill/run.go
@@ -116,6 +116,9 @@
 			}
 		}
 	}
+	if err := p.checkWindows(); err != nil {
+		return err
+	}
 	var err error
 	if p.list, err = p.w.StartList(p.ctx, p.Day.lag, p.nodes); err != nil {
 		return err
@@ -231,6 +234,15 @@
 	if len(p.Day.windows) == 0 || drains.Any(folder) {
 		return nil
 	}
+	store, err := drains.Open(folder)
+	if err != nil {
+		return err
+	}
+	return errors.Join(store.Add(p.calendar(), time.Now()), store.Close())
+}
+
+// calendar holds the day's windows.
+func (p *player) calendar() *calendar.Calendar {
 	cal := &calendar.Calendar{}
 	for _, w := range p.Day.windows {
 		win := calendar.Window{ID: w.name, Reach: calendar.Cell, Place: w.cell, Start: p.wall(w.at), Last: time.Duration(w.last * 1e6),
@@ -240,11 +252,27 @@
 		}
 		cal.Windows = append(cal.Windows, win)
 	}
-	store, err := drains.Open(folder)
-	if err != nil {
-		return err
+	return cal
+}
+
+// checkWindows refuses a day whose windows the calendar would not keep: what is out is then known beforehand.
+func (p *player) checkWindows() error {
+	if len(p.Day.windows) == 0 {
+		return nil
 	}
-	return errors.Join(store.Add(cal, time.Now()), store.Close())
+	var fleet []calendar.Node
+	for _, n := range p.nodes {
+		kind := slices.Index(p.Place.Kinds, n.Kind)
+		fleet = append(fleet, calendar.Node{ID: strconv.FormatUint(uint64(n.ID), 10), Zone: n.Zone, Cell: n.Cell, Kind: n.Kind,
+			Cores: p.Place.Cluster.KindCores[kind], Memory: p.Place.Cluster.KindMemory[kind]})
+	}
+	cal := p.calendar()
+	for _, v := range calendar.Plan(cal, fleet, p.Place.Drains, nil, p.dawn.Add(-time.Hour), p.dawn.Add(24*time.Hour)) {
+		if v.Outcome != calendar.Kept || len(v.Nodes) == 0 {
+			return fmt.Errorf("window %s of the day: %s, %d nodes, %s", v.Window, v.Outcome, len(v.Nodes), v.Why)
+		}
+	}
+	return nil
 }
 
 // wall is a time of the day on the wall clock, in whole seconds as a calendar has them.
