Dead fields and a loop written twice taken out; a fence places only what it may move

Found on reading the change again: fields that nothing reads, the sum of the tenants' shares in two places of the drill, and a fence that placed allocations of spread job types on a shard only to take them back.

--- a/internal/lab/cores/check.go
+++ b/internal/lab/cores/check.go
@@ -79,14 +79,12 @@
 	v       Verdict
 	harms   atomic.Int32
 	lives   atomic.Int32
-	begun   time.Time
 }
 
 type held struct {
 	nd    uint32
 	name  string
 	until time.Time
-	job   int
 }
 
 // Check runs a trial.
@@ -103,7 +101,7 @@
 	if err := knownNodes(dir, tr.Nodes); err != nil {
 		return nil, err
 	}
-	b := &bench{Trial: tr, out: map[uint64]held{}, started: map[uint64]int{}, newest: map[uint64]uint32{}, begun: time.Now()}
+	b := &bench{Trial: tr, out: map[uint64]held{}, started: map[uint64]int{}, newest: map[uint64]uint32{}}
 	b.v.Start = hdrhistogram.New(1, 1e7, 3)
 	for range tr.Nodes {
 		b.epochs = append(b.epochs, map[uint64]uint32{})
@@ -275,10 +273,9 @@
 // harmed lets a shard panic or stand still now and then, in the middle of what it does.
 type harmed struct {
 	engine.Edge
-	b     *bench
-	rng   *rand.Rand
-	next  time.Time
-	index int32
+	b    *bench
+	rng  *rand.Rand
+	next time.Time
 }
 
 func (b *bench) harm(e engine.Edge) engine.Edge {
@@ -286,7 +283,7 @@
 	if b.Harm == 0 {
 		return e
 	}
-	h := &harmed{Edge: e, b: b, rng: rand.New(rand.NewPCG(b.Seed, uint64(life)+100)), index: life}
+	h := &harmed{Edge: e, b: b, rng: rand.New(rand.NewPCG(b.Seed, uint64(life)+100))}
 	h.next = time.Now().Add(time.Duration(h.rng.ExpFloat64() * float64(b.Harm) * float64(b.Shards)))
 	return h
 }
@@ -443,7 +440,7 @@
 		if h, ok := b.out[token]; ok && now.Before(h.until) {
 			b.v.Duplicates++
 		}
-		b.out[token] = held{p.nd, tryName(ticket, try), now.Add(time.Duration(timeout * 1e6)), job}
+		b.out[token] = held{p.nd, tryName(ticket, try), now.Add(time.Duration(timeout * 1e6))}
 		if job == 2 {
 			if b.started[token]++; b.started[token] > 1 {
 				b.v.Seconds++
--- a/internal/lab/drill/run.go
+++ b/internal/lab/drill/run.go
@@ -373,11 +373,7 @@
 	next := begin
 	for {
 		p.mu.Lock()
-		total := 0.0
-		for i, share := range p.Place.Shares {
-			total += share * p.factor(p.Place.Tenants[i])
-		}
-		rate := p.Day.rate * p.rate * total / 1000
+		rate := p.Day.rate * p.rate * p.demand() / 1000
 		p.mu.Unlock()
 		next += p.rng.ExpFloat64() / rate
 		if next > begin+p.Day.lasts-p.Day.settles {
@@ -397,14 +393,18 @@
 	return 1
 }
 
-// want makes one allocation wanted, by an owner at some scheduler.
-func (p *player) want(begin float64) {
-	p.mu.Lock()
-	total := 0.0
+// demand is the sum of the tenants' shares, floods included; under the lock.
+func (p *player) demand() (total float64) {
 	for i, share := range p.Place.Shares {
 		total += share * p.factor(p.Place.Tenants[i])
 	}
-	x, tenant := p.rng.Float64()*total, 0
+	return total
+}
+
+// want makes one allocation wanted, by an owner at some scheduler.
+func (p *player) want(begin float64) {
+	p.mu.Lock()
+	x, tenant := p.rng.Float64()*p.demand(), 0
 	for i, share := range p.Place.Shares {
 		if tenant = i; x < share*p.factor(p.Place.Tenants[i]) {
 			break
--- a/internal/lab/month/month.go
+++ b/internal/lab/month/month.go
@@ -90,16 +90,15 @@
 
 // spot is a node.
 type spot struct {
-	w      *world
-	id     uint32
-	m      *standin.Machine
-	out    [][2]float64 // true times at which it is out, from drain to end
-	lost   bool
-	life   uint64
-	zone   int
-	cell   int
-	kind   int
-	noMore float64
+	w    *world
+	id   uint32
+	m    *standin.Machine
+	out  [][2]float64 // true times at which it is out, from drain to end
+	lost bool
+	life uint64
+	zone int
+	cell int
+	kind int
 }
 
 // proc is a scheduler process.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -77,7 +77,6 @@
 	work   sync.WaitGroup
 	calls  chan call // to the node list
 	ctx    context.Context
-	trunks []*trunk
 
 	desk    sync.Mutex // who acts for what; held for a few look-ups at a time
 	ledger  *ledger.Ledger
@@ -135,15 +134,16 @@
 		weights[i] = 1
 	}
 	s.table = shares.New(shares.Way(place.PlaceBy), weights)
+	var t *trunk
 	for i := range place.Shards {
 		sh, err := s.newShard(i)
 		if err != nil {
 			return err
 		}
 		if i == 0 || place.Connections == site.Own {
-			s.trunks = append(s.trunks, newTrunk(s, i))
+			t = newTrunk(s, i)
 		}
-		sh.trunk = s.trunks[len(s.trunks)-1]
+		sh.trunk = t
 		sh.trunk.set(sh)
 		s.shards = append(s.shards, sh)
 		s.lives[sh.life] = sh
--- a/internal/serve/shard.go
+++ b/internal/serve/shard.go
@@ -253,14 +253,14 @@
 			s.resting[o.Entry.Service] = now + restFor
 		}
 		if o.Fate == ledger.Moves {
-			to, ok := s.table.Place(o.Entry.Service, o.Name.Tenant, false)
-			if ok && !pinned {
+			to, ok := 0, false
+			if !pinned {
+				to, ok = s.table.Place(o.Entry.Service, o.Name.Tenant, false)
+			}
+			if ok {
 				moves = append(moves, moved{s.shards[to], *o, s.ledger.Take(o.Name, to, o.Entry.Ask)})
 				s.ownedBy(o.Entry.Owner, o.Entry.Ref, to)
 			} else {
-				if ok {
-					s.table.Leave(to, o.Entry.Service)
-				}
 				o.Fate = ledger.Declines
 			}
 		}
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -30,12 +30,12 @@
 }
 
 type entry struct {
-	address           string
-	avail             int
-	started           float64
-	cores, memory     float64
-	zone, cell, kind  string
-	seenCores, seenAt float64
+	address          string
+	avail            int
+	started          float64
+	cores, memory    float64
+	zone, cell, kind string
+	seenAt           float64
 }
 
 // view is what the list saw at a time; each change of an entry has a version.
