What was given up and may run counts for its service's spread until it is heard of

Seen: with 300 ms each way between schedulers and nodes (lab, three schedulers, 250 asks a second) a fourth task of a service stood at a node that bears three, with and without members, hosted or not. Trace of one: a tokened offer timed out at its expiry, the node had started it 300 ms before, its word was 200 ms away; meanwhile the module, told that the try had timed out, counted it no more and sent another there. Ruled out: the auditor (its list drops what is not confirmed by its time), the late start itself (adopted and counted as soon as it is heard), shards (one each). At fault: engine.giveUp, which remembers the try as a ghost but lets the module forget it (offerBack). Now the engine has the module count a ghost of a job type with a spread as found work, under a number of its own, until the node says what became of it, its life is over or it is forgotten. The module did not change; the platform's route waits for the outcome as it did.

--- a/internal/decide/doubt/doubt.go
+++ b/internal/decide/doubt/doubt.go
@@ -97,6 +97,10 @@
 // RememberFor is how long a given up try is remembered, so that its late answers are understood.
 func RememberFor() float64 { return keepGhost }
 
+// Counts tells whether a try that was given up goes on to count where it was sent, until its node says what became of it: as
+// long as it may run there, one more of its service could be one too many.
+func Counts(spread logic.Place) bool { return spread != logic.Anywhere }
+
 // Withdrawn tells whether an owner that gives up may be told that asking again does no harm. A restartable one
 // always may; any other only if nothing is out and no earlier try may have run, or its group drops the repeat
 // wherever it goes.
--- a/internal/engine/dump.go
+++ b/internal/engine/dump.go
@@ -47,12 +47,10 @@
 	for name := range e.ghosts {
 		names = append(names, name)
 	}
-	slices.SortFunc(names, func(x, y tryName) int {
-		return cmp.Or(cmp.Compare(x.ticket, y.ticket), cmp.Compare(x.try, y.try))
-	})
+	slices.SortFunc(names, tryName.compare)
 	for _, name := range names {
 		g := e.ghosts[name]
-		num(float64(name.ticket), float64(name.try), float64(g.alloc), float64(g.nd), rel(g.sentAt))
+		num(float64(name.ticket), float64(name.try), float64(g.alloc), float64(g.nd), float64(g.counts), rel(g.sentAt))
 		flag(g.started, g.stopped)
 	}
 	for i := range e.nodes {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,9 +8,11 @@
 package engine
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 
 	"ravenpond/internal/bells"
 	"ravenpond/internal/decide/admit"
@@ -144,6 +146,7 @@
 	sentAt        float64
 	started       bool
 	stopped       bool
+	counts        uint32 // by this number the module counts it for its service's spread, 0: it does not
 }
 
 type node struct {
@@ -340,12 +343,7 @@
 			e.askClaim(c.name, c.left)
 		}
 	case dueGhost:
-		for name, g := range e.ghosts { // a sweep: the order has no effect
-			if e.now-g.sentAt > doubt.RememberFor() {
-				e.nodes[g.nd].ghosts--
-				delete(e.ghosts, name)
-			}
-		}
+		e.forgetAll(func(g ghost) bool { return e.now-g.sentAt > doubt.RememberFor() })
 		if len(e.ghosts) > 0 {
 			e.bells.Set(e.now+doubt.RememberFor()/4, dueGhost, 0)
 		}
@@ -476,6 +474,11 @@
 	}
 	if _, ok := e.ghosts[name]; !ok {
 		e.nodes[g.nd].ghosts++
+		if doubt.Counts(e.terms.Cluster.JobTypes[g.job].Spread) {
+			e.ids++
+			g.counts = e.ids
+			e.sched.Found(e.now, g.counts, g.job, g.tenant, g.service, g.cores, g.memory, e.nodes[g.nd].id)
+		}
 	}
 	e.ghosts[name] = g
 }
@@ -484,9 +487,30 @@
 	if g, ok := e.ghosts[name]; ok {
 		e.nodes[g.nd].ghosts--
 		delete(e.ghosts, name)
+		if g.counts > 0 {
+			e.sched.Settled(e.now, g.counts, e.nodes[g.nd].id, 0, e.now-g.sentAt, true, logic.NotTold, logic.Ended, nil)
+		}
+	}
+}
+
+// forgetAll forgets those that are meant, in the order of their names: the module hears of them.
+func (e *Engine) forgetAll(meant func(ghost) bool) {
+	var names []tryName
+	for name, g := range e.ghosts {
+		if meant(g) {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, tryName.compare)
+	for _, name := range names {
+		e.forget(name)
 	}
 }
 
+func (x tryName) compare(y tryName) int {
+	return cmp.Or(cmp.Compare(x.ticket, y.ticket), cmp.Compare(x.try, y.try))
+}
+
 // unsend ends a try that waits for its node's connection: it must not leave any more, even if that comes right now.
 func (e *Engine) unsend(a *alloc) {
 	a.recalled = true
--- a/internal/engine/nodes.go
+++ b/internal/engine/nodes.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 
@@ -227,11 +226,7 @@
 		e.allocs[p].seen = false
 	}
 	if !n.same && n.ghosts > 0 { // what the earlier life was asked for is gone with it
-		for name, g := range e.ghosts {
-			if g.nd == nd {
-				e.forget(name)
-			}
-		}
+		e.forgetAll(func(g ghost) bool { return g.nd == nd })
 	}
 }
 
@@ -329,9 +324,7 @@
 			names = append(names, name)
 		}
 	}
-	slices.SortFunc(names, func(x, y tryName) int {
-		return cmp.Or(cmp.Compare(x.ticket, y.ticket), cmp.Compare(x.try, y.try))
-	})
+	slices.SortFunc(names, tryName.compare)
 	for _, name := range names {
 		e.edge.Claim(e.nodes[nd].id, name.ticket, name.try)
 	}
--- /dev/null
+++ b/internal/lab/sim/slow_test.go
@@ -0,0 +1,20 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+)
+
+// TestSlowNodes has all words between one scheduler and its nodes take 300 ms each way, so that tries are given up before their nodes
+// are heard: what may run there goes on to count for its service's spread.
+func TestSlowNodes(t *testing.T) {
+	for _, seed := range []uint64{3, 4, 5} {
+		s := Script{Seed: seed, Nodes: 4, Schedulers: 1, Shards: 1, Share: "shared", Rate: 100, Lasts: 15000}
+		for n := range s.Nodes {
+			s.Faults = append(s.Faults, Fault{At: 5, Kind: "slow", A: "s0", B: fmt.Sprint("n", n+1), For: 25000, Size: 300})
+		}
+		if v := Play(s, nil, nil); v.Broken != "" || v.Served < 100 {
+			t.Errorf("seed %d: %d served of %d: %s", seed, v.Served, v.Asks, v.Broken)
+		}
+	}
+}
