Tenants' limits are lent on a lease to the schedulers that are there

Seen: limits were divided by place, so a lost scheduler's part of a tenant's limit lay idle until it was back. Change: half of each limit (lends) goes in equal parts to those who hold a lease on it, the rest by place (decide/lend).

--- a/internal/decide/desk/desk.go
+++ b/internal/decide/desk/desk.go
@@ -399,6 +399,9 @@
 	return all, true
 }
 
+// Uses is how many of a tenant's allocations are open here by which its limit is held.
+func (d *Desk) Uses(now float64, tenant int) int { return d.ledger.Uses(now, tenant) }
+
 // Open is the number of allocations that are not answered yet.
 func (d *Desk) Open() int { return d.ledger.Open() }
 
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -83,6 +83,16 @@
 // Open is the number of entries that are not answered yet.
 func (l *Ledger) Open() int { return l.open }
 
+// Uses is the number of a tenant's entries that are not answered and whose owners still wait.
+func (l *Ledger) Uses(now float64, tenant int) (n int) {
+	for name, en := range l.all {
+		if name.Tenant == tenant && !en.Answered && now < en.Expiry {
+			n++
+		}
+	}
+	return n
+}
+
 // Entry gives an allocation's entry, nil if there is none.
 func (l *Ledger) Entry(n Name) *Entry { return l.all[n] }
 
--- a/internal/decide/members/hear.go
+++ b/internal/decide/members/hear.go
@@ -12,7 +12,7 @@
 // Heard takes a datagram that came to this process's address.
 func (d *Detector) Heard(now float64, b []byte) {
 	d.wake(now)
-	d.head.kind, d.head.place, d.head.given, d.head.counted = 0, 0, false, nil
+	d.head.kind, d.head.place = 0, 0
 	d.page = nil
 	switch err := codec.Open(b, d.who.Key, d.who.Site, d.who.Address, taker{d}); {
 	case errors.Is(err, codec.ErrForeign):
@@ -84,8 +84,8 @@
 }
 
 // Lease holds what a datagram says of leave until its kind is done.
-func (d taker) Lease(place int, given bool, counted []byte) {
-	d.head.place, d.head.given, d.head.counted = place+1, given, counted
+func (d taker) Lease(place int, given bool, counted []byte, lent bool, lentCounted []byte) {
+	d.head.place, d.head.given, d.head.counted, d.head.lent, d.head.lentCounted = place+1, given, counted, lent, lentCounted
 	d.head.m.place = place + 1
 }
 
@@ -98,6 +98,9 @@
 func (d *Detector) leased(sent float64) {
 	if h := &d.head; d.share != nil && h.place > 0 {
 		d.share.Answered(sent, h.place-1, h.given, parts.Of(h.counted))
+		if d.lent != nil {
+			d.lent.Answered(sent, h.place-1, h.lent, parts.Of(h.lentCounted))
+		}
 	}
 }
 
--- a/internal/decide/members/members.go
+++ b/internal/decide/members/members.go
@@ -99,6 +99,7 @@
 	Place               int     // among all that share what cold nodes bear, from 0
 	Places              int     // of the site file; 0: nothing is shared
 	Window              float64 // ms in which a node bears what it bears
+	Open                float64 // ms that an allocation may be open: what is lent of limits stays in use for so long; 0: nothing is lent
 	Plant               Plant
 	Seed                uint64 // of the chance by which it chooses
 }
@@ -197,8 +198,9 @@
 
 	head struct {
 		place        int // of its sender, counted from 1; 0: none
-		given        bool
+		given, lent  bool
 		counted      []byte
+		lentCounted  []byte
 		m            *member
 		kind         uint32
 		number, view uint64
@@ -209,6 +211,7 @@
 
 	words news.Board
 	share *parts.Holder // nil: nothing is shared
+	lent  *parts.Holder // nil: nothing is lent
 
 	// Figures, since the start.
 	Figures Figures
@@ -230,8 +233,12 @@
 		d.who.Life = 1
 	}
 	if who.Places > 0 && who.Places <= mostPlaces {
-		d.share = parts.New(now, parts.Charter{Places: who.Places, Lease: parts.LeaseFor(who.Places, period), Window: who.Window,
-			Turn: 2 * period * float64(who.Places)}, who.Place)
+		lease := parts.Charter{Places: who.Places, Lease: parts.LeaseFor(who.Places, period), Window: who.Window,
+			Turn: 2 * period * float64(who.Places)}
+		d.share = parts.New(now, lease, who.Place)
+		if lease.Window = who.Open; who.Open > 0 {
+			d.lent = parts.New(now, lease, who.Place)
+		}
 	}
 	d.me = &member{Member: Member{Name: who.Name, Address: who.Address, State: Alive, Since: now, By: who.Name}, told: 0}
 	d.news = append(d.news, d.me)
@@ -286,6 +293,19 @@
 	return d.share.Sharers(now), d.share.Until(now)
 }
 
+// Lent is how many share what is lent of limits, as far as this process has to reckon with, 0 if it has no lease on it; and until when
+// that holds at the latest.
+func (d *Detector) Lent(now float64) (n int, until float64) {
+	if d.lent == nil || d.taken || d.leaving {
+		return 0, now
+	}
+	if d.who.Plant.Grows {
+		alive, _, _, _ := d.Count()
+		return alive + 1, math.Inf(1)
+	}
+	return d.lent.Sharers(now), d.lent.Until(now)
+}
+
 // List tells of an answer of this process's own node list, whose news go to the others.
 func (d *Detector) List(now float64, version uint64, each func(yield func(node uint32, ready, gone bool))) {
 	d.words.Own(now, version, each)
@@ -549,6 +569,9 @@
 		if d.share != nil {
 			d.share.Gone(m.place - 1)
 		}
+		if d.lent != nil {
+			d.lent.Gone(m.place - 1)
+		}
 	}
 	if to != was {
 		m.Since = d.now
@@ -690,10 +713,15 @@
 	switch {
 	case d.share == nil || d.leaving || d.taken:
 	case kind == codec.Ping:
-		b = codec.Lease(b, d.who.Place, false, nil)
+		b = codec.Lease(b, d.who.Place, false, nil, false, nil)
 	case kind == codec.Ack && d.head.kind == codec.Ping && d.head.place > 0: // not one that is passed on for another
 		given, counted := d.share.Asked(d.now, d.head.place-1)
-		b = codec.Lease(b, d.who.Place, given, counted.Bytes())
+		var lent bool
+		var lentCounted parts.Set
+		if d.lent != nil {
+			lent, lentCounted = d.lent.Asked(d.now, d.head.place-1)
+		}
+		b = codec.Lease(b, d.who.Place, given, counted.Bytes(), lent, lentCounted.Bytes())
 	}
 	if first != nil {
 		b, _ = item(b, first)
--- a/internal/decide/tenancy/tenancy.go
+++ b/internal/decide/tenancy/tenancy.go
@@ -14,6 +14,7 @@
 
 	"ravenpond/internal/decide/entry"
 	"ravenpond/internal/decide/fair"
+	"ravenpond/internal/decide/lend"
 )
 
 // State is where a tenant is in its life.
@@ -334,15 +335,16 @@
 	Stop   bool         // what runs is stopped
 }
 
-// Duty gives it for one of so many processes. Numbers are divided, so that all together keep to the limit without a word
-// between them; a rate is divided as it is.
-func (t *Tenant) Duty(processes, index int) Duty {
+// Duty gives it for a process that may use such a part of all limits. What connections may do at the door is divided by place and never
+// lent: those of a process that is cut off from the others stay.
+func (t *Tenant) Duty(part lend.Part) Duty {
+	processes, index := part.Places, part.Index
 	d := Duty{Limits: t.Limits.Limits, Door: entry.Limits{Share: t.Limits.Share, Conns: t.Limits.Conns, Bytes: t.Limits.Bytes}, Takes: t.State == Active, Answer: t.State >= Removing, Stop: t.State >= Removing && t.Ending == Stop}
 	n := float64(max(1, processes))
-	d.Limits.Rate /= n
-	d.Limits.Burst = max(1, d.Limits.Burst/n)
+	d.Limits.Rate = part.Rate(d.Limits.Rate)
+	d.Limits.Burst = max(1, part.Rate(d.Limits.Burst))
 	if t.Limits.Open > 0 {
-		d.Limits.Open = fair.Part(t.Limits.Open, processes, index)
+		d.Limits.Open = part.Whole(t.Limits.Open)
 		d.Takes = d.Takes && d.Limits.Open > 0 // fewer may be open than there are processes, and this is not one of those
 	}
 	if t.Limits.Conns > 0 { // one at least, whatever the sum: who can't come in never hears why
--- a/internal/lab/circle/circle.go
+++ b/internal/lab/circle/circle.go
@@ -27,12 +27,19 @@
 	Wrong   []string // deaths of those who lived, in words
 	forgive float64  // until then a death of one who lives is to be expected
 	deaths  []death
-	took    [][][2]float64 // by process, the parts of cold nodes that it took within the window, with their times
-	Worst   float64        // the most that all took within a window, as a part of the whole
+	took    [2][][][2]float64 // of cold nodes and of what is lent, by process: the parts that it took within the window, with their times
+	Worst   [2]float64        // the most that all took within a window, as a part of the whole
 }
 
-// window is that of what cold nodes bear, ms.
-const window = 2500
+// windows are those of what cold nodes bear and of what is lent, ms.
+var windows = [2]float64{2500, 6000}
+
+// shares are how many share each at a process.
+func shares(d *decide.Detector, now float64) (all [2]int) {
+	all[0], _ = d.Sharers(now)
+	all[1], _ = d.Lent(now)
+	return all
+}
 
 // death is that one process holds another for dead.
 type death struct {
@@ -67,7 +74,7 @@
 }
 
 func begin(seed uint64, n int, wrap func(outside.World) outside.World, plant decide.Plant) *Circle {
-	c := &Circle{Plant: plant, took: make([][][2]float64, n), Clock: sim.NewClock(seed), Rng: rand.New(rand.NewPCG(seed, 0xc1)), Wrap: wrap}
+	c := &Circle{Plant: plant, took: [2][][][2]float64{make([][][2]float64, n), make([][][2]float64, n)}, Clock: sim.NewClock(seed), Rng: rand.New(rand.NewPCG(seed, 0xc1)), Wrap: wrap}
 	for i := range n {
 		name := fmt.Sprintf("m%03d", i)
 		p := &Process{c: c, place: i, Name: name, P: c.Clock.NewProcess(name), Key: key, Addr: name + ":1"}
@@ -93,7 +100,7 @@
 		w = p.c.Wrap(w)
 	}
 	run, err := members.Begin(w, p.Addr, decide.Charter{Site: "lab", Name: p.Name, Address: p.Addr, Life: p.Life, Key: p.Key, Seeds: seeds,
-		Seed: p.c.Rng.Uint64(), Place: p.place, Places: len(p.c.took), Window: window, Plant: p.c.Plant}, told{p})
+		Seed: p.c.Rng.Uint64(), Place: p.place, Places: len(p.c.took[0]), Window: windows[0], Open: windows[1], Plant: p.c.Plant}, told{p})
 	if err != nil {
 		panic(err)
 	}
@@ -150,31 +157,38 @@
 }
 
 func (c *Circle) weigh() {
-	now, sum := c.Clock.True(), 0.0
-	for i := range c.took {
-		if p := c.All[i]; p.Dead == 0 && !p.Paused {
-			p.Run.See(func(d *decide.Detector) {
-				if n, _ := d.Sharers(p.P.Now()); n > 0 {
-					c.took[i] = append(c.took[i], [2]float64{now, 1 / float64(n)})
-				}
-			})
+	now, sum := c.Clock.True(), [2]float64{}
+	for i, p := range c.All {
+		var all [2]int
+		if p.Dead == 0 && !p.Paused {
+			p.Run.See(func(d *decide.Detector) { all = shares(d, p.P.Now()) })
 		}
-		most := 0.0
-		c.took[i] = slices.DeleteFunc(c.took[i], func(x [2]float64) bool { return x[0] <= now-window })
-		for _, x := range c.took[i] {
-			most = max(most, x[1])
+		for what, n := range all {
+			took := &c.took[what][i]
+			if n > 0 {
+				*took = append(*took, [2]float64{now, 1 / float64(n)})
+			}
+			most := 0.0
+			*took = slices.DeleteFunc(*took, func(x [2]float64) bool { return x[0] <= now-windows[what] })
+			for _, x := range *took {
+				most = max(most, x[1])
+			}
+			sum[what] += most
 		}
-		sum += most
 	}
-	c.Worst = max(c.Worst, sum)
+	for what := range sum {
+		c.Worst[what] = max(c.Worst[what], sum[what])
+	}
 }
 
-// Used is the part of what a cold node bears that all together may use now.
-func (c *Circle) Used() (used float64) {
+// Used is the part of what a cold node bears, and of what is lent, that all together may use now.
+func (c *Circle) Used() (used [2]float64) {
 	for _, p := range c.Living() {
 		p.Run.See(func(d *decide.Detector) {
-			if n, _ := d.Sharers(p.P.Now()); n > 0 {
-				used += 1 / float64(n)
+			for what, n := range shares(d, p.P.Now()) {
+				if n > 0 {
+					used[what] += 1 / float64(n)
+				}
 			}
 		})
 	}
--- a/internal/lab/circle/circle_test.go
+++ b/internal/lab/circle/circle_test.go
@@ -69,8 +69,8 @@
 	if len(c.Wrong) > 0 {
 		t.Errorf("%d wrong: %s", len(c.Wrong), c.Wrong[0])
 	}
-	if c.Worst > 1+1e-9 {
-		t.Errorf("%.3f of what a cold node bears within a window", c.Worst)
+	if max(c.Worst[0], c.Worst[1]) > 1+1e-9 {
+		t.Errorf("%.3f of what a cold node bears within a window, %.3f of what is lent", c.Worst[0], c.Worst[1])
 	}
 }
 
--- a/internal/lab/circle/play.go
+++ b/internal/lab/circle/play.go
@@ -73,13 +73,13 @@
 		fail("%s", why)
 	}
 	for range int(idles / 1000) {
-		if c.Used() > 0.999 {
+		if used := c.Used(); min(used[0], used[1]) > 0.999 {
 			break
 		}
 		c.Pass(1000)
 	}
-	if used := c.Used(); used < 0.999 {
-		fail("%.3f of what a cold node bears is in use when all is well", used)
+	if used := c.Used(); min(used[0], used[1]) < 0.999 {
+		fail("%.3f of what a cold node bears is in use when all is well, and %.3f of what is lent", used[0], used[1])
 	}
 	if c.Until(2000) > 2000 { // a suspicion of before may yet be refuted
 		_, why := c.Agreed()
@@ -96,8 +96,8 @@
 			fail("after a death and a replay: %s", why)
 		}
 	}
-	if c.Worst > 1+1e-9 {
-		fail("%.3f of what a cold node bears within a window", c.Worst)
+	if max(c.Worst[0], c.Worst[1]) > 1+1e-9 {
+		fail("%.3f of what a cold node bears within a window, %.3f of what is lent", c.Worst[0], c.Worst[1])
 	}
 	if len(c.Wrong) > 0 {
 		fail("%s", c.Wrong[0])
--- a/internal/lab/sim/clubs.go
+++ b/internal/lab/sim/clubs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -115,8 +116,15 @@
 			}
 		})
 	case "tenant-limit":
-		st.turn(tenancy.Change{Kind: tenancy.Limit, Name: f.A, Limits: tenancy.Limits{Limits: fair.Limits{Share: 1, Open: max(1, int(f.Size)),
+		l := limit{open: max(1, int(f.Size))}
+		l.from = longest + takesUp + st.turn(tenancy.Change{Kind: tenancy.Limit, Name: f.A, Limits: tenancy.Limits{Limits: fair.Limits{Share: 1, Open: l.open,
 			Wait: 20}}})
+		for _, s := range st.scheds {
+			if s.p.paused { // it hears of the change when it wakes
+				l.from = math.Inf(1)
+			}
+		}
+		st.limits[f.A] = l
 	case "tenant-remove":
 		ending := tenancy.RunOut
 		if f.Size >= 0.5 {
@@ -130,6 +138,41 @@
 	}
 }
 
+// limit is how many of a tenant's allocations may be open, and from when on no more are.
+type limit struct {
+	open int
+	from float64
+}
+
+// longest is the longest expiry that owners ask for, ms.
+const longest = 2000
+
+// overshoot holds what all schedulers have open of a tenant against its limit.
+func (st *stage) overshoot() {
+	for slot, name := range clubNames {
+		l, ok := st.limits[name]
+		if !ok || st.gone[name] > 0 {
+			continue
+		}
+		all, sum := make([]int, len(st.scheds)), 0
+		for i, s := range st.scheds {
+			if s.server != nil && !s.p.dead {
+				all[i] = s.server.Uses(slot)
+				sum += all[i]
+			}
+			if s.p.resumed > l.from-longest-takesUp {
+				l.from = max(l.from, s.p.resumed+longest+takesUp)
+			}
+		}
+		if st.game.Uses != nil {
+			st.game.Uses(st.c.now, name, all)
+		}
+		if st.c.now >= l.from && sum > l.open {
+			st.fail(0, fmt.Sprintf("%v of tenant %s are open, %d may be", all, name, l.open))
+		}
+	}
+}
+
 // harmless are faults that keep nobody from stopping what runs.
 var harmless = []string{"jump", "list-away", "list-behind", "errors", "flood", "withdraw", "window", "drain", "tenant-limit", "tenant-pause",
 	"tenant-remove"}
--- a/internal/lab/sim/play.go
+++ b/internal/lab/sim/play.go
@@ -90,6 +90,7 @@
 	asked  map[[2]uint64]wanted // by owner and ref
 	shut   map[string]float64   // tenants that take nothing, since all schedulers could know
 	gone   map[string]float64   // and those that are removed
+	limits map[string]limit
 	v      Verdict
 }
 
@@ -111,12 +112,13 @@
 // Game is how a script is played.
 type Game struct {
 	Script
-	Plant   *Plant              // a fault in the program, or none
-	Out     io.Writer           // is given the trace in words, if it is not nil
-	Policy  engine.Policy       // instead of the module
-	Seen    func(*audit.Record) // is given each record
-	Settles float64             // ms after the last ask, if not the usual
-	Lenient bool                // goes on when a rule breaks, and counts: for policies that keep few
+	Plant   *Plant                                       // a fault in the program, or none
+	Out     io.Writer                                    // is given the trace in words, if it is not nil
+	Policy  engine.Policy                                // instead of the module
+	Seen    func(*audit.Record)                          // is given each record
+	Uses    func(now float64, tenant string, open []int) // is told, of each scheduler, how many of a limited tenant are open
+	Settles float64                                      // ms after the last ask, if not the usual
+	Lenient bool                                         // goes on when a rule breaks, and counts: for policies that keep few
 }
 
 // Play plays a script, with a fault planted in the program or none; the trace is written in words if out is not nil.
@@ -131,7 +133,7 @@
 		plant = &Plant{}
 	}
 	st := &stage{Script: s, game: g, c: NewClock(s.Seed), plant: plant, hosts: map[string]*Process{}, flood: 1, deaf: map[int]float64{},
-		wanted: map[uint64]wanted{}, asked: map[[2]uint64]wanted{}, shut: map[string]float64{}, gone: map[string]float64{},
+		wanted: map[uint64]wanted{}, asked: map[[2]uint64]wanted{}, shut: map[string]float64{}, gone: map[string]float64{}, limits: map[string]limit{},
 		rng: rand.New(rand.NewPCG(s.Seed, 0x57a6e))}
 	st.c.out = out
 	defer func() {
@@ -313,7 +315,7 @@
 	place := *st.place
 	place.OwnersListen = s.name + ":1"
 	if st.Members {
-		place.Members = site.Members{Listen: fmt.Sprint("10.0.0.", 1+s.index, ":1"), Seeds: []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}}
+		place.Members = site.Members{Listen: fmt.Sprint("10.0.0.", 1+s.index, ":1"), Seeds: []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}, Lends: 0.5}
 	}
 	place.Cluster.JobTypes = slices.Clone(place.Cluster.JobTypes)
 	if st.plant.Place != nil {
@@ -438,6 +440,7 @@
 	if st.game.Lenient {
 		return
 	}
+	st.overshoot()
 	for _, s := range st.scheds {
 		if s.server == nil || s.p.dead || s.p.paused || st.c.now < s.p.resumed+1000 { // what came meanwhile is read first
 			continue
--- a/internal/proto/members/members.go
+++ b/internal/proto/members/members.go
@@ -51,8 +51,9 @@
 type Taker interface {
 	Head(from, address string, life, count, toLife uint64, kind uint32, number uint64, target string, view uint64, after, until string) bool
 	News(name, address string, life, version uint64, state uint32, by string)
-	// Lease comes before the news: the sender's place, whether it gives leave, and whom it counts.
-	Lease(place int, given bool, counted []byte)
+	// Lease comes before the news: the sender's place, whether it gives leave, and whom it counts, for cold nodes and for
+	// what is lent of limits.
+	Lease(place int, given bool, counted []byte, lent bool, lentCounted []byte)
 	// Word is that a node is not ready by a version of the node list.
 	Word(node uint32, version uint64, gone bool)
 }
@@ -76,14 +77,20 @@
 	return text(b, 12, until)
 }
 
-// Lease appends a sender's place, counted from 0, and with an answer whether it gives leave and whom it counts.
-func Lease(b []byte, place int, given bool, counted []byte) []byte {
+// Lease appends a sender's place, counted from 0, and with an answer whether it gives leave and whom it counts, for cold nodes
+// and for what is lent of limits.
+func Lease(b []byte, place int, given bool, counted []byte, lent bool, lentCounted []byte) []byte {
 	b = number64(b, 14, uint64(place+1))
+	b = leave(b, 15, given, 16, counted)
+	return leave(b, 18, lent, 19, lentCounted)
+}
+
+func leave(b []byte, yes protowire.Number, given bool, whom protowire.Number, counted []byte) []byte {
 	if given {
-		b = number64(b, 15, 1)
+		b = number64(b, yes, 1)
 	}
 	if len(counted) > 0 {
-		b = protowire.AppendBytes(protowire.AppendTag(b, 16, protowire.BytesType), counted)
+		b = protowire.AppendBytes(protowire.AppendTag(b, whom, protowire.BytesType), counted)
 	}
 	return b
 }
@@ -139,8 +146,8 @@
 		return ErrForeign
 	}
 	var s, from, address, target, after, until string
-	var life, count, toLife, kind, number, view, place, given uint64
-	var counted []byte
+	var life, count, toLife, kind, number, view, place, given, lent uint64
+	var counted, lentCounted []byte
 	err := fields(body, func(field protowire.Number, v uint64, x []byte) bool {
 		var into *string
 		switch field {
@@ -174,6 +181,10 @@
 			given = v
 		case 16:
 			counted = x
+		case 18:
+			lent = v
+		case 19:
+			lentCounted = x
 		}
 		if into != nil {
 			if len(x) > longest {
@@ -195,7 +206,7 @@
 		return nil
 	}
 	if place > 0 {
-		t.Lease(int(place-1), given != 0, counted)
+		t.Lease(int(place-1), given != 0, counted, lent != 0, lentCounted)
 	}
 	return fields(body, func(field protowire.Number, _ uint64, x []byte) bool {
 		return field != 13 && field != 17 || field == 13 && item(x, t) || field == 17 && word(x, t)
--- a/internal/proto/members/members_test.go
+++ b/internal/proto/members/members_test.go
@@ -18,8 +18,8 @@
 	return !t.stop
 }
 
-func (t *taker) Lease(place int, given bool, counted []byte) {
-	t.lines = append(t.lines, fmt.Sprint("place ", place, given, counted))
+func (t *taker) Lease(place int, given bool, counted []byte, lent bool, lentCounted []byte) {
+	t.lines = append(t.lines, fmt.Sprint("place ", place, given, counted, lent, lentCounted))
 }
 
 func (t *taker) Word(node uint32, version uint64, gone bool) {
@@ -34,7 +34,7 @@
 
 func datagram() []byte {
 	b := Begin(nil, "site", "s1", "1.2.3.4:5", 7, 9, 3, Ping, 11, "s2", 0xfeed, "a", "b")
-	b = Lease(b, 4, true, []byte{3, 1})
+	b = Lease(b, 4, true, []byte{3, 1}, true, []byte{5})
 	b, _ = News(b, "s3", "1.2.3.5:5", 4, 6, Suspect, "s1")
 	b, _ = News(b, "s4", "1.2.3.6:5", 1, 0, Alive, "")
 	b, _ = Word(b, 1<<32-1, 77, true)
@@ -46,7 +46,7 @@
 	if err := Open(Seal(datagram(), key, "9.9.9.9:1"), key, "site", "9.9.9.9:1", &x); err != nil {
 		t.Fatal(err)
 	}
-	want := fmt.Sprint("s1", "1.2.3.4:5", 7, 9, 3, Ping, 11, "s2", 0xfeed, "a", "b") + "\n" + fmt.Sprint("place ", 4, true, []byte{3, 1}) + "\n" + fmt.Sprint("s3", "1.2.3.5:5", 4, 6, Suspect, "s1") +
+	want := fmt.Sprint("s1", "1.2.3.4:5", 7, 9, 3, Ping, 11, "s2", 0xfeed, "a", "b") + "\n" + fmt.Sprint("place ", 4, true, []byte{3, 1}, true, []byte{5}) + "\n" + fmt.Sprint("s3", "1.2.3.5:5", 4, 6, Suspect, "s1") +
 		"\n" + fmt.Sprint("s4", "1.2.3.6:5", 1, 0, Alive, "") + "\n" + fmt.Sprint("word ", 1<<32-1, 77, true)
 	if got := strings.Join(x.lines, "\n"); got != want {
 		t.Errorf("%s\nwant\n%s", got, want)
--- a/internal/serve/check.go
+++ b/internal/serve/check.go
@@ -41,6 +41,13 @@
 	return nil
 }
 
+// Uses is how many of a tenant's allocations are open here by which its limit is held.
+func (s *Server) Uses(tenant int) int {
+	s.desk.Lock()
+	defer s.desk.Unlock()
+	return s.acts.Uses(s.w.Now(), tenant)
+}
+
 // Knows tells whether some shard knows a try.
 func (s *Server) Knows(ticket uint64, try uint8) bool {
 	s.desk.Lock()
--- a/internal/serve/hosting.go
+++ b/internal/serve/hosting.go
@@ -11,6 +11,7 @@
 
 	"ravenpond/internal/decide/desk"
 	"ravenpond/internal/decide/entry"
+	"ravenpond/internal/decide/lend"
 	"ravenpond/internal/decide/tenancy"
 	"ravenpond/internal/engine"
 	"ravenpond/internal/state/bolt"
@@ -47,6 +48,7 @@
 	fault   string
 	pumping bool
 	planned float64 // when lines are looked at again, 0: no plan
+	loan    lend.Loan
 }
 
 // errNotAllowed says nothing more to who may not.
@@ -124,34 +126,69 @@
 
 // turnClubs takes what the store says now: limits, who takes nothing any more, whose token is gone.
 func (s *Server) turnClubs(st tenants.State, verify func(time.Time, string) (string, bool)) {
-	place, now := s.who.Place, s.w.Now()
+	now := s.w.Now()
 	s.desk.Lock()
 	c := &s.clubs
 	c.read, c.book, c.tokens, c.verify = true, st.Book, st.Tokens, verify
-	var declined []desk.Entry
 	active := 0
 	doors := map[int]entry.Limits{}
+	sharers, _ := c.loan.Now(now)
 	for _, t := range st.Book.All() {
-		duty := t.Duty(place.Cluster.Schedulers, s.who.Index)
-		if doors[t.Slot] = duty.Door; t.State == tenancy.Removed {
+		if doors[t.Slot] = t.Duty(s.part(sharers)).Door; t.State == tenancy.Removed {
 			doors[t.Slot] = entry.Limits{}
 		}
-		declined = append(declined, s.acts.Tenant(now, t.Slot, duty)...)
 		if t.State == tenancy.Active {
 			active++
 		}
 	}
+	declined := s.limit(now, sharers)
 	s.desk.Unlock()
 	s.mu.Lock()
 	for slot, l := range doors {
 		s.entry.Limit(slot, l)
 	}
 	s.mu.Unlock()
+	s.turnAway(declined)
+	s.log.Info().Str("mode", "tenants").Uint64("changes", st.Count).Int("active", active).Int("turned_away", len(declined)).Msg("tenants read")
+	s.cutForeign()
+}
+
+// part is what this process may use of all limits where so many share what is lent of them.
+func (s *Server) part(sharers int) lend.Part {
+	p := lend.Part{Places: s.who.Place.Cluster.Schedulers, Index: s.who.Index, Sharers: sharers}
+	if s.who.Place.Members.Listen != "" {
+		p.Lends = s.who.Place.Members.Lends
+	}
+	return p
+}
+
+// limit sets all tenants' limits by that part, and gives what waits of those that take nothing any more; under the desk.
+func (s *Server) limit(now float64, sharers int) (declined []desk.Entry) {
+	for _, t := range s.clubs.book.All() {
+		declined = append(declined, s.acts.Tenant(now, t.Slot, t.Duty(s.part(sharers)))...)
+	}
+	return declined
+}
+
+// lend holds the lease on what is lent of limits against the clock, before anything passes by them; under the desk.
+func (s *Server) lend(now float64) (declined []desk.Entry) {
+	sharers, turned := s.clubs.loan.Now(now)
+	if !turned {
+		return nil
+	}
+	s.log.Info().Str("mode", "tenants").Int("share", sharers).Float64("lends", s.part(0).Lends).Msg("limits")
+	return s.limit(now, sharers)
+}
+
+// longest is the longest that an allocation may be open where limits are lent, ms: for so long what was lent stays in use.
+func (s *Server) longest() float64 { return slices.Max(s.who.Place.Expiry) }
+
+func (s *Server) lends() bool { return s.hosts() && s.part(0).Lends > 0 }
+
+func (s *Server) turnAway(declined []desk.Entry) {
 	for _, e := range declined {
 		s.deliver(s.ownerOf(e), e, nil)
 	}
-	s.log.Info().Str("mode", "tenants").Uint64("changes", st.Count).Int("active", active).Int("turned_away", len(declined)).Msg("tenants read")
-	s.cutForeign()
 }
 
 // cutForeign ends connections whose token is not good any more, by the store or by time.
@@ -380,7 +417,7 @@
 	now := s.w.Now()
 	s.desk.Lock()
 	s.clubs.pumping = false
-	all := s.acts.Pump(now, s.queueAt(now))
+	all := append(s.lend(now), s.acts.Pump(now, s.queueAt(now))...)
 	to, owners := make([]*shard, len(all)), make([]*owner, len(all))
 	for i, e := range all {
 		owners[i] = s.ownerOf(e)
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -65,7 +65,11 @@
 		return fmt.Errorf("state: %w", err)
 	}
 	cl := &s.who.Place.Cluster
-	run, err := members.Begin(s.w, m.Listen, decide.Charter{Site: s.who.Place.Name, Name: s.who.Name, Address: m.Others, Life: uint64(life), Key: key,
+	open := 0.0
+	if s.lends() {
+		open = s.longest()
+	}
+	run, err := members.Begin(s.w, m.Listen, decide.Charter{Open: open, Site: s.who.Place.Name, Name: s.who.Name, Address: m.Others, Life: uint64(life), Key: key,
 		Seeds: m.Seeds, Seed: s.who.Seed, Place: s.who.Index, Places: cl.Schedulers, Window: cl.FallWindow + leaseSpan}, changes{s})
 	if err != nil {
 		return err
@@ -95,8 +99,8 @@
 func (s *Server) lookMembers() {
 	now := s.w.Now()
 	c := &s.circle
-	var n, alive, known, has, needs int
-	var until float64
+	var n, alive, known, has, needs, lent int
+	var until, lentUntil float64
 	var held []uint32
 	c.run.See(func(d *decide.Detector) {
 		n, until = d.Sharers(now + leaseEarly)
@@ -104,7 +108,16 @@
 		alive, known = a, a+suspect+dead
 		has, needs = d.Leaves(now)
 		held = d.Held(now)
+		lent, lentUntil = d.Lent(now + leaseEarly)
 	})
+	if s.lends() {
+		s.desk.Lock()
+		s.clubs.loan.Take(lent, lentUntil-leaseEarly)
+		declined := s.lend(now)
+		s.freed()
+		s.desk.Unlock()
+		s.turnAway(declined)
+	}
 	s.hold(held)
 	if was := int(c.sharers.Load()); was != n {
 		s.log.Info().Str("mode", "members").Int("share", n).Int("was", was).Int("leaves", has).Int("needs", needs).Msg("cold nodes")
--- a/internal/serve/owners.go
+++ b/internal/serve/owners.go
@@ -408,6 +408,8 @@
 		fault = "cores and memory: numbers above 0 are expected"
 	case ask.Within < 0 || ask.Within > 3600e3:
 		fault = "within-ms: 0 to 3600000 is expected"
+	case o.s.lends() && ask.Within > o.s.longest():
+		fault = fmt.Sprintf("within-ms: 0 to %.0f is expected, as limits are lent", o.s.longest())
 	}
 	if fault != "" {
 		return jrpc2.Errorf(jrpc2.InvalidParams, "%s", fault)
@@ -447,10 +449,12 @@
 	now := s.w.Now()
 	a.Expiry = now + left
 	s.desk.Lock()
+	declined := s.lend(now)
 	e := s.acts.Enter(now, name, a, unread, s.queueAt(now))
 	sh := s.entered(o, e)
 	s.freed()
 	s.desk.Unlock()
+	s.turnAway(declined)
 	s.deliver(o, e, sh)
 }
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -113,6 +113,7 @@
 			{Name: "seeds", Kind: sheet.Text, Must: true},
 			{Name: "key", Kind: sheet.Text, Must: true},
 			{Name: "advertise", Kind: sheet.Address},
+			{Name: "lends", Kind: sheet.Number, Default: "0.5", Min: 0, Max: 1},
 		}},
 		{Name: "node-list", Least: 1, Most: 1, Attrs: []sheet.Attr{{Name: "address", Kind: sheet.Address, Must: true}}},
 		{Name: "owners", Least: 1, Most: 1, Attrs: []sheet.Attr{{Name: "listen", Kind: sheet.Address, Must: true},
@@ -160,6 +161,7 @@
 	Others string   // the address by which others reach it, where that is another
 	Seeds  []string // addresses at which others are asked for first
 	Key    string   // file of the site's member key
+	Lends  float64  // part of tenants' limits that is lent to those who are there, from 0 to 1
 }
 
 // Load reads a site file. All faults are in the error, a line each.
@@ -267,7 +269,7 @@
 		p.Cluster.JobTypes = append(p.Cluster.JobTypes, jt)
 	}
 	if m := top.One("members"); m != nil {
-		p.Members = Members{Listen: m.Text("listen"), Seeds: strings.Fields(m.Text("seeds")), Key: m.Text("key"), Others: m.Text("advertise")}
+		p.Members = Members{Listen: m.Text("listen"), Seeds: strings.Fields(m.Text("seeds")), Key: m.Text("key"), Others: m.Text("advertise"), Lends: m.Number("lends")}
 		if _, err := netip.ParseAddrPort(p.Members.Listen); err != nil {
 			fault(m, "<members>: listen %q: an address of digits and a port are expected", p.Members.Listen)
 		}
