My link or the node: others' word of a silent node is asked for and used

Seen: a node that fell silent to one scheduler was called lost after 8 s with all that ran there, while the others heard it; and where it had begun anew, owners waited those 8 s for what was long over. Change: a scheduler asks for its silent nodes with its probes (16 in one), the others answer with the life they hear and how long ago (decide/witness). Heard in the same life since it fell silent here: what runs is waited for, up to a minute. In another life: what was there is over at once. Nothing is sent to a node that is not reached; word older than the silence is nothing.

--- a/internal/decide/doubt/doubt.go
+++ b/internal/decide/doubt/doubt.go
@@ -12,6 +12,8 @@
 const (
 	claimFor  = 1500 // a try whose connection broke waits so long for its node to say what became of it
 	runsFor   = 8000 // and one that runs: its end can't be told from the break alone
+	runsOn    = 2000 // and so much longer each time that others still hear its node
+	runsLast  = 60000
 	keepLate  = 2500 // a start that came too late is kept for its owner's next ask, beyond the settle time
 	keepGhost = 60000
 )
@@ -42,6 +44,15 @@
 	return claimFor
 }
 
+// Longer is how much longer a try that runs is waited for whose node has been silent here for so long, while others hear it in the
+// same life; 0: no longer.
+func Longer(silent float64, lives bool) float64 {
+	if !lives || silent >= runsLast {
+		return 0
+	}
+	return runsOn
+}
+
 // Returned decides about a try when its node is connected again. A node in another life has lost what it held,
 // and the try may have run in the life before; one in the same life that doesn't name it must be asked, since
 // an answer may have been lost on the way.
--- a/internal/decide/members/hear.go
+++ b/internal/decide/members/hear.go
@@ -6,13 +6,14 @@
 	"slices"
 
 	"ravenpond/internal/decide/parts"
+	"ravenpond/internal/decide/witness"
 	codec "ravenpond/internal/proto/members"
 )
 
 // Heard takes a datagram that came to this process's address.
 func (d *Detector) Heard(now float64, b []byte) {
 	d.wake(now)
-	d.head.kind, d.head.place = 0, 0
+	d.head.kind, d.head.place, d.head.silent = 0, 0, d.head.silent[:0]
 	d.page = nil
 	switch err := codec.Open(b, d.who.Key, d.who.Site, d.who.Address, taker{d}); {
 	case errors.Is(err, codec.ErrForeign):
@@ -94,6 +95,26 @@
 	d.words.Heard(d.now, node, version, gone)
 }
 
+// Silent takes a question for a node, for the answer to the ping that bears it.
+func (d taker) Silent(node uint32) {
+	if len(d.head.silent) < witness.Most {
+		d.head.silent = append(d.head.silent, node)
+	}
+}
+
+// Hears takes what another hears of a node, with its answer to a probe of this process.
+func (d taker) Hears(node uint32, life uint64, ago float64) {
+	h := &d.head
+	if h.kind != codec.Ack {
+		return
+	}
+	if h.number == d.probe.number && d.probe.out {
+		d.nodes.Told(d.probe.sent, node, life, ago)
+	} else if w, ok := d.waits[h.number]; ok {
+		d.nodes.Told(w.sent, node, life, ago)
+	}
+}
+
 // leased takes leave that came with an answer to a probe sent at a time.
 func (d *Detector) leased(sent float64) {
 	if h := &d.head; d.share != nil && h.place > 0 {
--- a/internal/decide/members/members.go
+++ b/internal/decide/members/members.go
@@ -21,6 +21,7 @@
 	"ravenpond/internal/bells"
 	"ravenpond/internal/decide/news"
 	"ravenpond/internal/decide/parts"
+	"ravenpond/internal/decide/witness"
 	codec "ravenpond/internal/proto/members"
 )
 
@@ -88,6 +89,8 @@
 	Changed(m Member, was State)
 	// Taken tells that another process goes by this one's name, and where.
 	Taken(address string)
+	// Hears is what this process hears of a node: in which life, and when last, ms; false if it does not.
+	Hears(node uint32) (life uint64, heard float64, ok bool)
 }
 
 // Charter says who this process is, and whom it asks first.
@@ -201,6 +204,7 @@
 		given, lent  bool
 		counted      []byte
 		lentCounted  []byte
+		silent       []uint32 // nodes that its sender asks for
 		m            *member
 		kind         uint32
 		number, view uint64
@@ -210,6 +214,7 @@
 	page map[string]bool // names told by the page that is being read, of which nothing newer is held
 
 	words news.Board
+	nodes witness.Board
 	share *parts.Holder // nil: nothing is shared
 	lent  *parts.Holder // nil: nothing is lent
 
@@ -306,6 +311,20 @@
 	return d.lent.Sharers(now), d.lent.Until(now)
 }
 
+// NodeLost says that this process hears a node no more, which it knew in such a life: the others are asked for it.
+func (d *Detector) NodeLost(now float64, node uint32, life uint64) { d.nodes.Lost(now, node, life) }
+
+// NodeBack says that it hears a node.
+func (d *Detector) NodeBack(node uint32) { d.nodes.Back(node) }
+
+// NodeLives tells whether others hear a node that is silent here, in the life in which it was lost.
+func (d *Detector) NodeLives(now float64, node uint32, life uint64) bool {
+	return d.nodes.Lives(now, node, life)
+}
+
+// NodesEnded gives nodes whose life is over in which they were lost here, each once.
+func (d *Detector) NodesEnded(yield func(node uint32, life uint64)) { d.nodes.Ended(yield) }
+
 // List tells of an answer of this process's own node list, whose news go to the others.
 func (d *Detector) List(now float64, version uint64, each func(yield func(node uint32, ready, gone bool))) {
 	d.words.Own(now, version, each)
@@ -723,6 +742,19 @@
 		}
 		b = codec.Lease(b, d.who.Place, given, counted.Bytes(), lent, lentCounted.Bytes())
 	}
+	switch {
+	case kind == codec.Ping:
+		d.nodes.Ask(d.now, func(node uint32) (ok bool) {
+			b, ok = codec.Silent(b, node)
+			return ok
+		})
+	case kind == codec.Ack && d.head.kind == codec.Ping:
+		for _, node := range d.head.silent {
+			if life, heard, ok := d.edge.Hears(node); ok {
+				b, _ = codec.Hears(b, node, life, d.now-heard)
+			}
+		}
+	}
 	if first != nil {
 		b, _ = item(b, first)
 	}
--- a/internal/decide/members/members_test.go
+++ b/internal/decide/members/members_test.go
@@ -23,6 +23,8 @@
 }
 func (w *wire) Taken(string) {}
 
+func (w *wire) Hears(uint32) (life uint64, heard float64, ok bool) { return 0, 0, false }
+
 func detector(name string, plant Plant, seeds ...string) (*Detector, *wire) {
 	w := &wire{last: map[string][]byte{}}
 	return New(w, 1000, Charter{Site: "s", Name: name, Address: name + ":1", Life: 1, Key: []byte("k"), Seeds: seeds, Seed: 1, Plant: plant}), w
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -85,6 +85,8 @@
 	Seed    uint64
 	Clock   float64 // wall clock in ms at the engine's time 0
 	Policy  Policy  // instead of the module, for comparisons; nil else
+	// Lives tells whether others hear a node in a life in which it was lost here; nil: nobody is asked.
+	Lives func(now float64, nd uint32, life uint64) bool
 }
 
 // Policy makes what decides.
@@ -158,6 +160,8 @@
 	page     int
 	life     uint64
 	began    float64 // the start of its life as it said itself, later than what the list knew then
+	lostAt   float64 // when its connection ended last
+	waited   bool    // and what ran there was waited for longer since, on the word of others
 	same     bool    // it came back in the life in which it was left
 	linked   bool
 	ready    bool // and has told all that it holds
@@ -312,6 +316,16 @@
 			case out:
 				e.giveUp(p, logic.Broken)
 			case runs:
+				n := &e.nodes[a.nd]
+				if more := doubt.Longer(e.now-n.lostAt, e.terms.Lives != nil && e.terms.Lives(e.now, n.id, n.life)); more > 0 {
+					a.doubtAt = e.now + more
+					e.bells.Set(a.doubtAt, dueDoubt, uint64(a.id))
+					if !n.waited {
+						n.waited = true
+						e.edge.Mode(fmt.Sprintf("node %d: silent here for %.1f s, others hear it: what runs there is waited for", n.id, (e.now-n.lostAt)/1000))
+					}
+					return
+				}
 				e.settle(p, logic.Broken, logic.NotTold, nil)
 			}
 		}
--- a/internal/engine/nodes.go
+++ b/internal/engine/nodes.go
@@ -384,7 +384,7 @@
 		return
 	}
 	n := &e.nodes[nd]
-	n.linked, n.ready = false, false
+	n.linked, n.ready, n.lostAt, n.waited = false, false, now, false
 	e.pacer.Broken(now, nd)
 	if n.avail == logic.Gone {
 		e.lose(nd)
@@ -402,6 +402,25 @@
 	}
 }
 
+// Ended says, on the word of others, that the life of a node is over in which it was lost here: what it ran then is over too, and what
+// it was offered may have run.
+func (e *Engine) Ended(now float64, id uint32, life uint64) {
+	e.now, e.news = now, true
+	nd, ok := e.nodeAt[id]
+	if !ok || e.nodes[nd].linked || e.nodes[nd].life != life {
+		return
+	}
+	n, over := &e.nodes[nd], 0
+	for i := len(n.on) - 1; i >= 0; i-- {
+		if p := n.on[i]; e.allocs[p].phase != held && doubt.Returned(false, false) == doubt.MayHave {
+			e.settle(p, logic.Broken, logic.NotTold, nil)
+			over++
+		}
+	}
+	e.forgetAll(func(g ghost) bool { return g.nd == nd })
+	e.edge.Mode(fmt.Sprintf("node %d: others hear it in a later life, %d that were with it are over", id, over))
+}
+
 // Reported is a node's answer to a probe.
 func (e *Engine) Reported(now float64, id uint32, seq uint64, report []float64) error {
 	e.now, e.news = now, true
--- a/internal/lab/circle/circle.go
+++ b/internal/lab/circle/circle.go
@@ -136,6 +136,8 @@
 	}
 }
 
+func (t told) Hears(uint32) (life uint64, heard float64, ok bool) { return 0, 0, false }
+
 func (t told) Taken(_ float64, address string) { t.p.TakenBy = address }
 
 // Named is the process of a name.
--- a/internal/lab/sim/play.go
+++ b/internal/lab/sim/play.go
@@ -117,6 +117,7 @@
 	Policy  engine.Policy                                // instead of the module
 	Seen    func(*audit.Record)                          // is given each record
 	Uses    func(now float64, tenant string, open []int) // is told, of each scheduler, how many of a limited tenant are open
+	Life    float64                                      // ms that work runs, if not the usual
 	Settles float64                                      // ms after the last ask, if not the usual
 	Lenient bool                                         // goes on when a rule breaks, and counts: for policies that keep few
 }
@@ -202,8 +203,12 @@
 	st.w.Trace.Each = st.record
 	mk := standin.Make{Cores: 16, Memory: 32, CoresLimit: 2, MemoryLimit: 1.5, Look: 4, Line: 30, Starts: 6, NoProgram: 3,
 		Programs: 6, ColdFrom: 0.4, ColdFor: place.Cluster.ColdFor, Fall: 1e9, FallFor: 1000, Bears: 8}
+	life := 1500.0
+	if st.game.Life > 0 {
+		life = st.game.Life
+	}
 	for job := range rulesOfJobs {
-		mk.Work = append(mk.Work, standin.Work{Start: 12, Life: 1500, Use: 0.5, Priority: job, Token: rulesOfJobs[job].Effect == audit.Tokened})
+		mk.Work = append(mk.Work, standin.Work{Start: 12, Life: life, Use: 0.5, Priority: job, Token: rulesOfJobs[job].Effect == audit.Tokened})
 	}
 	groups := []*standin.Group{standin.NewGroup(), standin.NewGroup()}
 	for i := range st.Nodes {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -18,6 +18,8 @@
 type Told interface {
 	Changed(now float64, m members.Member, was members.State)
 	Taken(now float64, address string)
+	// Hears is what this process hears of a node: its life, and when last.
+	Hears(node uint32) (life uint64, heard float64, ok bool)
 }
 
 // Runner is a detector that runs.
@@ -104,4 +106,6 @@
 
 func (e edge) Changed(m members.Member, was members.State) { e.told.Changed(e.w.Now(), m, was) }
 
+func (e edge) Hears(node uint32) (life uint64, heard float64, ok bool) { return e.told.Hears(node) }
+
 func (e edge) Taken(address string) { e.told.Taken(e.w.Now(), address) }
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -24,6 +24,8 @@
 
 func (b *book) Taken(float64, string) {}
 
+func (b *book) Hears(uint32) (life uint64, heard float64, ok bool) { return 0, 0, false }
+
 // TestSockets has three runners find each other over sockets, from one seed, beside a stranger with another key; one leaves.
 func TestSockets(t *testing.T) {
 	w := outside.NewReal()
--- a/internal/proto/members/members.go
+++ b/internal/proto/members/members.go
@@ -7,6 +7,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"errors"
+	"math"
 
 	"google.golang.org/protobuf/encoding/protowire"
 )
@@ -56,6 +57,9 @@
 	Lease(place int, given bool, counted []byte, lent bool, lentCounted []byte)
 	// Word is that a node is not ready by a version of the node list.
 	Word(node uint32, version uint64, gone bool)
+	// Silent asks what is heard of a node; Hears answers: its life, and how long ago it was heard, ms.
+	Silent(node uint32)
+	Hears(node uint32, life uint64, ago float64)
 }
 
 // Begin appends the head of a datagram. Fields that a kind does not have are empty.
@@ -208,8 +212,21 @@
 	if place > 0 {
 		t.Lease(int(place-1), given != 0, counted, lent != 0, lentCounted)
 	}
-	return fields(body, func(field protowire.Number, _ uint64, x []byte) bool {
-		return field != 13 && field != 17 || field == 13 && item(x, t) || field == 17 && word(x, t)
+	return fields(body, func(field protowire.Number, v uint64, x []byte) bool {
+		switch field {
+		case 13:
+			return item(x, t)
+		case 17:
+			return word(x, t)
+		case 20:
+			if v > math.MaxUint32 {
+				return false
+			}
+			t.Silent(uint32(v))
+		case 21:
+			return hears(x, t)
+		}
+		return true
 	})
 }
 
@@ -233,6 +250,46 @@
 	return true
 }
 
+// Silent appends a question for a node if it fits; false if it does not.
+func Silent(b []byte, node uint32) ([]byte, bool) {
+	q := protowire.AppendVarint(protowire.AppendTag(nil, 20, protowire.VarintType), uint64(node))
+	if len(b)+len(q)+sealed > Most {
+		return b, false
+	}
+	return append(b, q...), true
+}
+
+// Hears appends what is heard of a node if it fits; false if it does not.
+func Hears(b []byte, node uint32, life uint64, ago float64) ([]byte, bool) {
+	h := number64(nil, 1, uint64(node))
+	h = protowire.AppendFixed64(protowire.AppendTag(h, 2, protowire.Fixed64Type), life)
+	h = number64(h, 3, uint64(min(max(0, math.Ceil(ago)), math.MaxUint32)))
+	if len(b)+len(h)+4+sealed > Most {
+		return b, false
+	}
+	return protowire.AppendBytes(protowire.AppendTag(b, 21, protowire.BytesType), h), true
+}
+
+func hears(b []byte, t Taker) bool {
+	var node, life, ago uint64
+	err := fields(b, func(field protowire.Number, v uint64, _ []byte) bool {
+		switch field {
+		case 1:
+			node = v
+		case 2:
+			life = v
+		case 3:
+			ago = v
+		}
+		return true
+	})
+	if err != nil || node > math.MaxUint32 || life == 0 || ago > math.MaxUint32 {
+		return false
+	}
+	t.Hears(uint32(node), life, float64(ago))
+	return true
+}
+
 // Word appends a word of a node if it fits; false if it does not.
 func Word(b []byte, node uint32, version uint64, gone bool) ([]byte, bool) {
 	w := number64(number64(nil, 1, uint64(node)), 2, version)
--- a/internal/proto/members/members_test.go
+++ b/internal/proto/members/members_test.go
@@ -26,6 +26,12 @@
 	t.lines = append(t.lines, fmt.Sprint("word ", node, version, gone))
 }
 
+func (t *taker) Silent(node uint32) { t.lines = append(t.lines, fmt.Sprint("silent ", node)) }
+
+func (t *taker) Hears(node uint32, life uint64, ago float64) {
+	t.lines = append(t.lines, fmt.Sprint("hears ", node, life, ago))
+}
+
 func (t *taker) News(name, address string, life, version uint64, state uint32, by string) {
 	t.lines = append(t.lines, fmt.Sprint(name, address, life, version, state, by))
 }
@@ -38,6 +44,8 @@
 	b, _ = News(b, "s3", "1.2.3.5:5", 4, 6, Suspect, "s1")
 	b, _ = News(b, "s4", "1.2.3.6:5", 1, 0, Alive, "")
 	b, _ = Word(b, 1<<32-1, 77, true)
+	b, _ = Silent(b, 1<<32-1)
+	b, _ = Hears(b, 7, 1<<63, 1234.5)
 	return b
 }
 
@@ -47,7 +55,7 @@
 		t.Fatal(err)
 	}
 	want := fmt.Sprint("s1", "1.2.3.4:5", 7, 9, 3, Ping, 11, "s2", 0xfeed, "a", "b") + "\n" + fmt.Sprint("place ", 4, true, []byte{3, 1}, true, []byte{5}) + "\n" + fmt.Sprint("s3", "1.2.3.5:5", 4, 6, Suspect, "s1") +
-		"\n" + fmt.Sprint("s4", "1.2.3.6:5", 1, 0, Alive, "") + "\n" + fmt.Sprint("word ", 1<<32-1, 77, true)
+		"\n" + fmt.Sprint("s4", "1.2.3.6:5", 1, 0, Alive, "") + "\n" + fmt.Sprint("word ", 1<<32-1, 77, true) + "\n" + fmt.Sprint("silent ", uint32(1<<32-1)) + "\n" + fmt.Sprint("hears ", 7, uint64(1<<63), 1235.0)
 	if got := strings.Join(x.lines, "\n"); got != want {
 		t.Errorf("%s\nwant\n%s", got, want)
 	}
--- a/internal/serve/link.go
+++ b/internal/serve/link.go
@@ -129,6 +129,7 @@
 	l.hearing = [][]*shard{slices.Clone(t.shards)}
 	l.mu.Unlock()
 	t.links[l.nd] = l
+	l.s.met(l)
 	for _, sh := range t.shards {
 		l.tellLinked(sh)
 	}
@@ -169,6 +170,7 @@
 	}
 	t.mu.Lock()
 	delete(t.links, l.nd)
+	l.s.missed(l)
 	for _, sh := range t.shards {
 		sh.tell(func(now float64) {
 			if sh.links[l.nd] != l {
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"os"
 	"path/filepath"
@@ -41,6 +42,9 @@
 	mu      sync.Mutex
 	held    []uint32 // nodes that others say are not ready, ahead of the list here
 	told    float64
+
+	linksMu sync.Mutex
+	links   map[uint32]*link // the connections to nodes, by which others are told what is heard here
 }
 
 // keepMembers begins to know the others, where the site file has members.
@@ -95,6 +99,73 @@
 	c.s.log.Error().Str("mode", "members").Str("at", address).Msg("another scheduler goes by this one's name: this one takes no part in cold nodes")
 }
 
+// Hears is what this process hears of a node.
+func (c changes) Hears(node uint32) (life uint64, heard float64, ok bool) {
+	c.s.circle.linksMu.Lock()
+	defer c.s.circle.linksMu.Unlock()
+	l := c.s.circle.links[node]
+	if l == nil {
+		return 0, 0, false
+	}
+	return l.life, math.Float64frombits(l.heardAt.Load()), true
+}
+
+// met and missed follow the connections to nodes, for the others' sake and to ask them for one that is lost.
+func (s *Server) met(l *link) {
+	c := &s.circle
+	if c.run == nil {
+		return
+	}
+	c.linksMu.Lock()
+	if c.links == nil {
+		c.links = map[uint32]*link{}
+	}
+	c.links[l.nd] = l
+	c.linksMu.Unlock()
+	c.run.See(func(d *decide.Detector) { d.NodeBack(l.nd) })
+}
+
+func (s *Server) missed(l *link) {
+	c := &s.circle
+	if c.run == nil {
+		return
+	}
+	c.linksMu.Lock()
+	last := c.links[l.nd] == l
+	if last {
+		delete(c.links, l.nd)
+	}
+	c.linksMu.Unlock()
+	if last {
+		now := s.w.Now()
+		c.run.See(func(d *decide.Detector) { d.NodeLost(now, l.nd, l.life) })
+	}
+}
+
+// nodeLives tells a shard whether others hear a node that it has lost.
+func (s *Server) nodeLives(now float64, nd uint32, life uint64) (lives bool) {
+	if s.circle.run == nil {
+		return false
+	}
+	s.circle.run.See(func(d *decide.Detector) { lives = d.NodeLives(now, nd, life) })
+	return lives
+}
+
+// ended tells all shards of nodes whose life is over in which they were lost here.
+func (s *Server) ended(nodes map[uint32]uint64) {
+	if len(nodes) == 0 {
+		return
+	}
+	s.desk.Lock()
+	shards := s.living()
+	s.desk.Unlock()
+	for _, sh := range shards {
+		for _, nd := range slices.Sorted(maps.Keys(nodes)) {
+			sh.tell(func(now float64) { sh.eng.Ended(now, nd, nodes[nd]) })
+		}
+	}
+}
+
 // lookMembers takes over what the view says: how many share cold nodes, and how far this process is cut off.
 func (s *Server) lookMembers() {
 	now := s.w.Now()
@@ -102,6 +173,7 @@
 	var n, alive, known, has, needs, lent int
 	var until, lentUntil float64
 	var held []uint32
+	ended := map[uint32]uint64{}
 	c.run.See(func(d *decide.Detector) {
 		n, until = d.Sharers(now + leaseEarly)
 		a, suspect, dead, _ := d.Count()
@@ -109,7 +181,9 @@
 		has, needs = d.Leaves(now)
 		held = d.Held(now)
 		lent, lentUntil = d.Lent(now + leaseEarly)
+		d.NodesEnded(func(node uint32, life uint64) { ended[node] = life })
 	})
+	s.ended(ended)
 	if s.lends() {
 		s.desk.Lock()
 		s.clubs.loan.Take(lent, lentUntil-leaseEarly)
--- a/internal/serve/shard.go
+++ b/internal/serve/shard.go
@@ -61,7 +61,7 @@
 	}
 	sh.eng = engine.New(out, now, engine.Terms{Cluster: &cl, Shares: place.Shares,
 		Open: s.acts.OpenEach(place.Shards), Margin: place.Margin, Settle: place.Settle,
-		Policy: s.who.Policy, Life: life, Seed: s.who.Seed + uint64(life)*0x9e3779b97f4a7c15, Clock: float64(outside.Epoch.UnixMilli())})
+		Policy: s.who.Policy, Life: life, Seed: s.who.Seed + uint64(life)*0x9e3779b97f4a7c15, Clock: float64(outside.Epoch.UnixMilli()), Lives: s.nodeLives})
 	if s.who.Place.Members.Listen != "" {
 		sh.eng.Sharing(0) // until the others have given leave
 	}
