The rig's connections pass relays too; a connection's first offer can't lie on the way unseen

The rig: ways to nodes, list and owners that are cut, slow, trickle or break, by script (list-cut, list-slow, node-cut, node-slow, trickle, reset); a word of the list counts for the auditor when it is heard. TestWays plays them for four processes. Seen by it: rule 2, a tokened try reached its node 2.1 s after a doubtful one, window 1.5 s. Checked: the connection was made after a reset and a fall of the node, its first offer came just before the way was cut and lay there for 4 s; the node had nothing to compare its time with (admit.Lag takes the first for what the way takes; the first ping comes after 2 s) and took it. Change: the scheduler's greeting says when it was sent, and the node reckons from there. A greeting is answered within 2 s or the connection ends, so what can lie unseen is bounded. TestFirstIsLate shows the node turning it away, and taking it without. Ruled out: order in the relay (whole and in order, TestRelay), the auditor's clock (it goes by what the node can tell).

--- a/cmd/ravenpond/procs.go
+++ b/cmd/ravenpond/procs.go
@@ -45,7 +45,7 @@
 		return err
 	}
 	r, err := procs.Begin(ctx, procs.Plan{Command: []string{self}, Schedulers: c.Schedulers, Nodes: c.Nodes, Rate: c.Rate, Seed: c.Seed, Dir: c.Out,
-		Apart: c.Apart})
+		Apart: c.Apart, Relays: procs.NeedRelays(steps)})
 	if err != nil {
 		return err
 	}
--- a/internal/lab/procs/procs.go
+++ b/internal/lab/procs/procs.go
@@ -53,8 +53,12 @@
 	Seed       uint64
 	Dir        string
 	Apart      bool // schedulers do not know each other
+	Relays     bool // connections to nodes, list and owners pass relays too
 }
 
+// wayOf names the way between a scheduler and another party: "list", "owner", or a node by its number.
+type wayOf struct{ sched, party string }
+
 // Lane is the way of datagrams from one scheduler to another.
 type Lane struct {
 	Cut  bool
@@ -76,8 +80,13 @@
 	asks  sync.WaitGroup
 	stop  context.CancelFunc
 
+	relays []*relay // to nodes, by their place
+
 	mu    sync.Mutex
 	rng   *rand.Rand
+	ways  map[wayOf][2]Way
+	trace []audit.Record
+	held  []audit.Record // words of the list that lie on a way that is cut
 	lanes map[[2]int]Lane
 	kills []kill
 }
@@ -93,6 +102,8 @@
 	listen  string       // where it takes datagrams
 	free    *net.UDPConn // holds that address for it until it begins
 	relay   *net.UDPConn
+	toList  *relay // its ways to the list and from its owners, where they pass relays
+	toOwner *relay
 	folder  string
 	log     *os.File
 	owner   *standin.Owner
@@ -106,7 +117,9 @@
 func Begin(ctx context.Context, p Plan) (r *Rig, err error) {
 	ctx, stop := context.WithCancel(ctx)
 	real := outside.NewReal()
-	r = &Rig{Plan: p, ctx: ctx, stop: stop, real: real, w: standin.NewWorld(real), rng: rand.New(rand.NewPCG(p.Seed, 0x916)), lanes: map[[2]int]Lane{}}
+	r = &Rig{Plan: p, ctx: ctx, stop: stop, real: real, w: standin.NewWorld(real), rng: rand.New(rand.NewPCG(p.Seed, 0x916)), lanes: map[[2]int]Lane{},
+		ways: map[wayOf][2]Way{}}
+	r.w.Trace.Each = r.record
 	defer func() {
 		if err != nil {
 			r.close()
@@ -149,6 +162,8 @@
 			defer x.mu.Unlock()
 			if x.cmd == nil {
 				return ""
+			} else if x.toOwner != nil {
+				return x.toOwner.address()
 			}
 			return x.address
 		}}
@@ -183,12 +198,111 @@
 		if err := r.w.StartNode(n, mk, groups[i%2], r.Seed+uint64(i), false, ""); err != nil {
 			return err
 		}
+		if r.Relays {
+			if err := r.reach(n); err != nil {
+				return err
+			}
+		}
 		r.nodes = append(r.nodes, n)
 		r.rules.Nodes[n.ID] = audit.Stand{Zone: n.Zone, Cell: n.Cell}
 	}
 	var err error
-	r.list, err = r.w.StartList(50, r.nodes, "")
-	return err
+	if r.list, err = r.w.StartList(50, r.nodes, ""); err != nil || !r.Relays {
+		return err
+	}
+	for _, x := range r.all {
+		is := func([]byte) (string, bool) { return x.name, true }
+		if x.toList, err = newRelay(r.list.Address, is, r.way("list")); err != nil {
+			return err
+		}
+		if x.toOwner, err = newRelay(func() string {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			return x.address
+		}, is, r.way("owner")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// reach has schedulers reach a node by a relay, which learns from their greeting who they are.
+func (r *Rig) reach(n *standin.Node) error {
+	x, err := newRelay(n.Address, greeter, r.way(fmt.Sprint(n.ID)))
+	if err != nil {
+		return err
+	}
+	r.relays = append(r.relays, x)
+	n.Listed = x.address()
+	return nil
+}
+
+// greeter reads the name of a scheduler from its greeting to a node.
+func greeter(first []byte) (name string, ok bool) {
+	_, after, ok := bytes.Cut(first, []byte("\r\nScheduler: "))
+	if !ok {
+		return "", false
+	}
+	line, _, ok := bytes.Cut(after, []byte("\r\n"))
+	name, _, _ = strings.Cut(string(line), ".")
+	return name, ok
+}
+
+// way gives the ways between schedulers and a party, as they are.
+func (r *Rig) way(party string) func(sched string) (there, back Way) {
+	return func(sched string) (there, back Way) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		both := r.ways[wayOf{sched, party}]
+		return both[0], both[1]
+	}
+}
+
+// Way sets the way from a scheduler to a party, and back.
+func (r *Rig) Way(i int, party string, there, back Way) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	of := wayOf{r.all[i].name, party}
+	r.ways[of] = [2]Way{there, back}
+	if party != "list" || back.Cut {
+		return
+	}
+	kept := r.held[:0]
+	for _, x := range r.held { // what the list said meanwhile is heard now
+		if x.Sched == of.sched {
+			x.At = r.w.Now()
+			r.trace = append(r.trace, x)
+		} else {
+			kept = append(kept, x)
+		}
+	}
+	r.held = kept
+}
+
+// record keeps what passes. A word of the list counts when it is heard, not when it is said.
+func (r *Rig) record(x *audit.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if x.Kind == audit.Told || x.Kind == audit.Heard {
+		switch back := r.ways[wayOf{x.Sched, "list"}][1]; {
+		case back.Cut:
+			r.held = append(r.held, *x)
+			return
+		default:
+			x.At += float64(back.Slow) / 1e6
+		}
+	}
+	r.trace = append(r.trace, *x)
+}
+
+// Reset breaks all connections of a scheduler.
+func (r *Rig) Reset(i int) {
+	x := r.all[i]
+	for _, y := range append([]*relay{x.toList, x.toOwner}, r.relays...) {
+		if y != nil {
+			y.reset(x.name)
+		}
+	}
 }
 
 // door opens the relay to a scheduler and finds it a port for datagrams.
@@ -270,8 +384,12 @@
 		members = fmt.Sprintf(`<members listen="%s" advertise="%s" seeds="%s" key="%s"/>`, x.listen, x.relay.LocalAddr(), strings.Join(seeds, " "),
 			filepath.Join(r.Dir, "key"))
 	}
+	list := r.list.Address()
+	if x.toList != nil {
+		list = x.toList.address()
+	}
 	file := filepath.Join(r.Dir, x.name+".xml")
-	if err := os.WriteFile(file, fmt.Appendf(nil, siteText, r.Schedulers, max(12, r.Schedulers), members, r.list.Address()), 0o640); err != nil {
+	if err := os.WriteFile(file, fmt.Appendf(nil, siteText, r.Schedulers, max(12, r.Schedulers), members, list), 0o640); err != nil {
 		return err
 	}
 	x.free.Close()
@@ -498,7 +616,11 @@
 func (r *Rig) End() Result {
 	r.stop()
 	time.Sleep(3600 * time.Millisecond)
-	res := Result{Breaks: audit.Check(r.w.Trace.Records(), r.rules), Answers: map[string]int{}}
+	r.mu.Lock()
+	records := slices.Clone(r.trace)
+	r.mu.Unlock()
+	slices.SortStableFunc(records, func(a, b audit.Record) int { return cmp.Compare(a.At, b.At) })
+	res := Result{Breaks: audit.Check(records, r.rules), Answers: map[string]int{}}
 	for _, x := range r.all {
 		for _, t := range x.owner.Tallies() {
 			res.Answers[t.Word]++
@@ -515,10 +637,18 @@
 		r.Kill(i)
 		x.free.Close()
 		x.relay.Close()
+		for _, y := range []*relay{x.toList, x.toOwner} {
+			if y != nil {
+				y.close()
+			}
+		}
 		if x.log != nil {
 			x.log.Close()
 		}
 	}
+	for _, x := range r.relays {
+		x.close()
+	}
 	r.asks.Wait()
 	r.real.Close(time.Second)
 }
--- a/internal/lab/procs/procs_test.go
+++ b/internal/lab/procs/procs_test.go
@@ -103,3 +103,47 @@
 		}
 	}
 }
+
+const far = `# list, nodes and owners behind ways that fail, one upon the other; nodes come back cold meanwhile
+0     list-cut  6000 0    0
+300   list-slow 5000 400  1
+600   node-slow 5000 1000 2
+1000  reset     1000 0    3
+1500  trickle   2500 300  1
+2500  cold      500  0.4
+3500  node-cut  4000 0.3  3
+5000  stop      1500 0    2
+5500  list-cut  2000 0    1 2
+6500  cold      500  0.2
+`
+
+// TestWays plays failing ways to list, nodes and owners for four processes under load: no rule breaks, and all are answered.
+func TestWays(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	steps, err := Parse(strings.NewReader(far), 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Begin(t.Context(), Plan{Command: []string{self}, Schedulers: 4, Nodes: 10, Rate: 60, Seed: 2, Dir: t.TempDir(), Relays: NeedRelays(steps)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	soon(t, r, 20*time.Second)
+	if err := r.Play(t.Context(), steps, t.Logf); err != nil {
+		t.Error(err)
+	}
+	soon(t, r, 20*time.Second)
+	res := r.End()
+	for i, b := range res.Breaks {
+		if i < 5 {
+			t.Error(b)
+		}
+	}
+	if res.Answers["served"] < 100 {
+		t.Errorf("%v", res.Answers)
+	}
+	t.Logf("%v", res.Answers)
+}
--- /dev/null
+++ b/internal/lab/procs/relay_test.go
@@ -0,0 +1,105 @@
+package procs
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// TestRelay has an echo behind a relay: what passes is whole and in order, waits while a way is cut, comes late or little by little, and ends
+// with a reset.
+func TestRelay(t *testing.T) {
+	echo, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer echo.Close()
+	go func() {
+		for {
+			c, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				lines := bufio.NewScanner(c)
+				for lines.Scan() {
+					_, _ = c.Write(append(lines.Bytes(), '\n'))
+				}
+			}()
+		}
+	}()
+	var mu sync.Mutex
+	var there, back Way
+	set := func(x, y Way) {
+		mu.Lock()
+		there, back = x, y
+		mu.Unlock()
+	}
+	r, err := newRelay(func() string { return echo.Addr().String() }, func(b []byte) (string, bool) { return "a", len(b) > 0 },
+		func(who string) (Way, Way) {
+			mu.Lock()
+			defer mu.Unlock()
+			if who != "a" {
+				return Way{Cut: true}, Way{Cut: true}
+			}
+			return there, back
+		})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.close()
+	c, err := net.Dial("tcp4", r.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	answers := bufio.NewReader(c)
+	ask := func(word string, within time.Duration) (string, error) {
+		if _, err := c.Write([]byte(word)); err != nil {
+			return "", err
+		}
+		_ = c.SetReadDeadline(time.Now().Add(within))
+		return answers.ReadString('\n')
+	}
+	const long = 10 * time.Second
+	for _, s := range []struct {
+		name        string
+		there, back Way
+		least       time.Duration
+	}{
+		{"plain", Way{}, Way{}, 0},
+		{"slow there", Way{Slow: 80 * time.Millisecond}, Way{}, 80 * time.Millisecond},
+		{"slow both ways", Way{Slow: 40 * time.Millisecond}, Way{Slow: 40 * time.Millisecond}, 80 * time.Millisecond},
+		{"little by little", Way{Trickle: 40}, Way{}, 150 * time.Millisecond},
+		{"plain again", Way{}, Way{}, 0},
+	} {
+		set(s.there, s.back)
+		began := time.Now()
+		got, err := ask("one two\n", long)
+		if took := time.Since(began); err != nil || got != "one two\n" || took < s.least {
+			t.Errorf("%s: %q after %s, %v", s.name, got, took, err)
+		}
+	}
+	for _, cut := range [][2]Way{{{Cut: true}, {}}, {{}, {Cut: true}}} {
+		set(cut[0], cut[1])
+		if got, err := ask("held\n", 100*time.Millisecond); err == nil {
+			t.Errorf("%q came over a way that is cut", got)
+		}
+		set(Way{}, Way{})
+		_ = c.SetReadDeadline(time.Now().Add(long))
+		if got, err := answers.ReadString('\n'); got != "held\n" {
+			t.Errorf("%q, %v when it is mended", got, err)
+		}
+	}
+	r.reset("b")
+	if _, err := ask("still\n", long); err != nil {
+		t.Errorf("another's reset: %v", err)
+	}
+	r.reset("a")
+	if _, err := ask("gone\n", long); err == nil {
+		t.Error("it stands after a reset")
+	}
+}
--- a/internal/lab/procs/script.go
+++ b/internal/lab/procs/script.go
@@ -21,13 +21,26 @@
 
 // kinds of steps, and what their size means.
 var kinds = map[string]string{
-	"kill":  "killed, and started again at the end of its time",
-	"stop":  "stands still",
-	"part":  "cut off from all others that are not named",
-	"deaf":  "the first named hears nothing of the second",
-	"lossy": "a part, the size, of what goes to and from it is lost",
-	"slow":  "what it says takes so many ms longer, the size",
-	"cold":  "a part, the size, of all nodes is lost and comes back cold; it names no scheduler",
+	"kill":      "killed, and started again at the end of its time",
+	"stop":      "stands still",
+	"part":      "cut off from all others that are not named",
+	"deaf":      "the first named hears nothing of the second",
+	"lossy":     "a part, the size, of what goes to and from it is lost",
+	"slow":      "what it says takes so many ms longer, the size",
+	"list-cut":  "nothing passes between them and the node list; what was said is heard afterwards",
+	"list-slow": "words between them and the node list take so many ms longer, the size",
+	"node-cut":  "nothing passes between them and a part of the nodes, the size",
+	"node-slow": "words of a tenth of the nodes to them take so many ms longer, the size",
+	"trickle":   "a tenth of the nodes hear and say so many bytes a second, the size, with them",
+	"reset":     "all their connections break, and again every 250 ms of its time",
+	"cold":      "a part, the size, of all nodes is lost and comes back cold; it names no scheduler",
+}
+
+// NeedRelays tells whether steps need connections to pass relays.
+func NeedRelays(steps []Step) bool {
+	return slices.ContainsFunc(steps, func(s Step) bool {
+		return strings.HasPrefix(s.Kind, "list-") || strings.HasPrefix(s.Kind, "node-") || s.Kind == "trickle" || s.Kind == "reset"
+	})
 }
 
 // Parse reads a script: lines `MS KIND FOR-MS SIZE [NUMBERS ...]`; those that begin with # say why. Numbers are those of
@@ -127,6 +140,26 @@
 		set(l)
 		r.later(s.For, func() { set(Lane{}) })
 	}
+	ways := func(parties []string, there, back Way) {
+		set := func(there, back Way) {
+			for _, i := range who {
+				for _, p := range parties {
+					r.Way(i, p, there, back)
+				}
+			}
+		}
+		set(there, back)
+		r.later(s.For, func() { set(Way{}, Way{}) })
+	}
+	nodes := func(part float64) (all []string) {
+		for i := range r.nodes {
+			if float64(i) < part*float64(len(r.nodes)) {
+				all = append(all, strconv.Itoa(int(r.nodes[i].ID)))
+			}
+		}
+		return all
+	}
+	late := Way{Slow: time.Duration(s.Size * 1e6)}
 	in := func(i int) bool { return slices.Contains(who, i) }
 	switch s.Kind {
 	case "kill":
@@ -147,6 +180,25 @@
 		lanes(func(i, j int) bool { return in(i) || in(j) }, Lane{Loss: s.Size})
 	case "slow":
 		lanes(func(i, _ int) bool { return in(i) }, Lane{Slow: time.Duration(s.Size * 1e6)})
+	case "list-cut":
+		ways([]string{"list"}, Way{Cut: true}, Way{Cut: true})
+	case "list-slow":
+		ways([]string{"list"}, late, late)
+	case "node-cut":
+		ways(nodes(s.Size), Way{Cut: true}, Way{Cut: true})
+	case "node-slow":
+		ways(nodes(0.1), Way{}, late)
+	case "trickle":
+		few := Way{Trickle: int(s.Size)}
+		ways(nodes(0.1), few, few)
+	case "reset":
+		for at := time.Duration(0); at <= s.For; at += 250 * time.Millisecond {
+			r.later(at, func() {
+				for _, i := range who {
+					r.Reset(i)
+				}
+			})
+		}
 	case "cold":
 		r.Renew(s.Size, s.For)
 	}
--- a/internal/lab/sim/agree_test.go
+++ b/internal/lab/sim/agree_test.go
@@ -94,6 +94,41 @@
 	return t, nil
 }
 
+// TestFirstIsLate has the first offer of a connection lie on the way for long: the node knows by the greeting, which was answered at once.
+func TestFirstIsLate(t *testing.T) {
+	for _, says := range []bool{true, false} {
+		c := NewClock(1)
+		w := outside.World(c.NewProcess("n"))
+		n := &standin.Node{ID: 7, Zone: "z", Cell: "c", Kind: "k", Jobs: 1, Tenants: 1}
+		mk := standin.Make{Cores: 8, Memory: 16, CoresLimit: 1, MemoryLimit: 1, Look: 2, Line: 4, Starts: 2, Fall: 1e9, FallFor: 1, Bears: 1 << 20,
+			Work: []standin.Work{{Start: 5, Life: 400, Use: 0.5}}}
+		if err := standin.NewWorld(w).StartNode(n, mk, standin.NewGroup(), 3, false, "n:1"); err != nil {
+			t.Fatal(err)
+		}
+		x := &talk{}
+		w.Dial("n:1", 1000, func(conn outside.Conn, err error) {
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			conn.Begin(x, 1000)
+			say := func(b []byte) { conn.Send(func(q []byte) []byte { return append(q, b...) }) }
+			head := []string{"Scheduler", "s", "Life", "1", "Node", "7"}
+			if says {
+				head = append(head, "Sent", fmt.Sprintf("%.3f", 5000+w.Now()))
+			}
+			say(line.AppendGreeting(nil, node.Opening, head...))
+			sent := 5000 + w.Now() + 30
+			w.After(4000, func() { say(node.AppendOffer(nil, 1, 0, 5, sent, 1500, 0, 0, 9, 11, 1, 1)) })
+		})
+		for c.step(6000) {
+		}
+		if all := strings.Join(x.heard, "\n"); strings.Contains(all, "SETTLED 1 0 refused") != says || strings.Contains(all, "STARTED 1 0") == says {
+			t.Errorf("greeting says when it was sent: %t\n%s", says, all)
+		}
+	}
+}
+
 // TestAgree plays the same script on sockets and on the virtual network: the node's words are the same.
 func TestAgree(t *testing.T) {
 	real := outside.NewReal()
--- a/internal/serve/link.go
+++ b/internal/serve/link.go
@@ -56,7 +56,8 @@
 	l.heardAt.Store(math.Float64bits(t.s.w.Now()))
 	conn.Begin(l, node.Stuck)
 	conn.Send(func(b []byte) []byte {
-		return line.AppendGreeting(b, node.Opening, "Scheduler", t.name, "Node", strconv.FormatUint(uint64(nd), 10))
+		return line.AppendGreeting(b, node.Opening, "Scheduler", t.name, "Node", strconv.FormatUint(uint64(nd), 10),
+			"Sent", strconv.FormatFloat(t.s.w.Now(), 'f', 3, 64)) // so that the first offer can't lie on the way unseen
 	})
 	t.s.w.After(node.Handshake, func() {
 		if !l.greeted() {
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -101,7 +102,7 @@
 	next, changed := map[uint32]entry{}, false
 	l.w.At(func(float64) {
 		for _, n := range l.nodes {
-			en := entry{address: n.address, avail: 1, started: n.StartedAt, zone: n.Zone, cell: n.Cell, kind: n.Kind}
+			en := entry{address: cmp.Or(n.Listed, n.address), avail: 1, started: n.StartedAt, zone: n.Zone, cell: n.Cell, kind: n.Kind}
 			if n.Lost {
 				en.avail = 0
 			} else if n.Drains || l.marked(n.ID, now) {
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"net/textproto"
 	"slices"
 	"strconv"
@@ -50,6 +51,7 @@
 	life       uint64
 	door       outside.Door
 	address    string
+	Listed     string // the address that the list tells, where the node is reached by a way round; empty: its own
 	conns      map[string]*peer
 	loop       outside.Loop
 	unread     []func(now float64) // what came while the machine hung
@@ -205,6 +207,13 @@
 	if sched == "" || head.Get("Node") != strconv.FormatUint(uint64(n.ID), 10) {
 		return errors.New("not the node that was meant, or no name")
 	}
+	if text := head.Get("Sent"); text != "" {
+		sent, err := strconv.ParseFloat(text, 64)
+		if err != nil || math.IsNaN(sent) || math.IsInf(sent, 0) {
+			return fmt.Errorf("greeting: bad time sent %.20q", text)
+		}
+		p.lag.Waited(n.w.Now(), sent, 0, 0)
+	}
 	n.w.At(func(now float64) {
 		if n.Lost || n.Machine.Down() || n.Machine.Hang {
 			err = errAway
