--- a/cmd/ravenpond/sim.go
+++ b/cmd/ravenpond/sim.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"runtime"
 	"slices"
 	"strconv"
@@ -92,11 +93,33 @@
 }
 
 type circleCommand struct {
-	Seeds   string `default:"0:1000" help:"Seeds A:B, B left out."`
-	Workers int    `default:"0" help:"Seeds at a time; 0: one a core."`
-	Plant   string `help:"Plant a fault that must be found; list prints them."`
-	Sizes   []int  `help:"Measure calm circles of these sizes instead: detection, cost, growth."`
-	Runs    int    `default:"5" help:"How many of each size."`
+	Seeds   string    `default:"0:1000" help:"Seeds A:B, B left out."`
+	Workers int       `default:"0" help:"Seeds at a time; 0: one a core."`
+	Plant   string    `help:"Plant a fault that must be found; list prints them."`
+	Sizes   []int     `help:"Measure calm circles of these sizes instead: detection, cost, growth."`
+	Losses  []float64 `default:"0,0.05,0.2" help:"And at these parts of datagrams lost."`
+	Runs    int       `default:"5" help:"How many of each size."`
+	Plots   string    `type:"path" help:"Draw the times of detection into this file, by size, and into its neighbour, by loss (SVG)."`
+}
+
+// plots draws both.
+func (c *circleCommand) plots(rows []circle.Row) error {
+	for _, byLoss := range []bool{false, true} {
+		name := c.Plots
+		if byLoss {
+			ext := filepath.Ext(name)
+			name = strings.TrimSuffix(name, ext) + "-by-loss" + ext
+		}
+		f, err := os.Create(name)
+		if err != nil {
+			return err
+		}
+		err = circle.Plot(f, rows, byLoss)
+		if err := errors.Join(err, f.Close()); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
 }
 
 func (c *circleCommand) Run(ctx context.Context) error {
@@ -104,7 +127,11 @@
 		c.Workers = runtime.NumCPU()
 	}
 	if len(c.Sizes) > 0 {
-		return circle.Measure(ctx, os.Stdout, c.Sizes, c.Runs, c.Workers)
+		rows, err := circle.Measure(ctx, os.Stdout, c.Sizes, c.Losses, c.Runs, c.Workers)
+		if err != nil || c.Plots == "" {
+			return err
+		}
+		return c.plots(rows)
 	}
 	var plant *members.Plant
 	for _, p := range circle.Plants {
--- a/internal/lab/circle/measure.go
+++ b/internal/lab/circle/measure.go
@@ -9,6 +9,11 @@
 	"sync"
 	"text/tabwriter"
 
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
 	decide "ravenpond/internal/decide/members"
 	"ravenpond/internal/lab/sim"
 )
@@ -29,13 +34,20 @@
 	wrong     int
 }
 
-// Measure writes a table of circles of some sizes: how soon they meet and learn of deaths, with and without loss, and what
+// Row is what came of circles of one size and loss.
+type Row struct {
+	Processes       int
+	Loss            float64 // part of all datagrams
+	P50, P99, Bound float64 // ms from a kill until another knew; the published expectation
+}
+
+// Measure writes a table of circles of some sizes: how soon they meet and learn of deaths, at some parts lost, and what
 // they send in the calm. The figures are simulated; latency is up to a millisecond.
-func Measure(ctx context.Context, w io.Writer, sizes []int, runs, workers int) error {
+func Measure(ctx context.Context, w io.Writer, sizes []int, losses []float64, runs, workers int) (rows []Row, err error) {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(tw, "processes\tloss\tmet ms\tknown p50\tp99\tmost\tbound\tnever\twrong\tdatagrams/s\tbytes/s\t")
 	for _, n := range sizes {
-		for _, loss := range []float64{0, 0.05, 0.2} {
+		for _, loss := range losses {
 			all := make([]measured, runs)
 			var work sync.WaitGroup
 			places := make(chan bool, max(1, workers))
@@ -50,7 +62,7 @@
 			}
 			work.Wait()
 			if ctx.Err() != nil {
-				return ctx.Err()
+				return rows, ctx.Err()
 			}
 			var sum measured
 			for _, m := range all {
@@ -70,9 +82,53 @@
 			}
 			fmt.Fprintf(tw, "%d\t%.0f%%\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%d\t%d\t%.1f\t%.0f\t\n", n, 100*loss, sum.meet, at(0.5), at(0.99), at(1),
 				sum.bound, sum.never, sum.wrong, sum.datagrams, sum.bytes)
+			rows = append(rows, Row{n, loss, at(0.5), at(0.99), sum.bound})
 		}
 	}
-	return tw.Flush()
+	return rows, tw.Flush()
+}
+
+// Plot draws how soon a death is known, by size for each loss or by loss for each size, as SVG.
+func Plot(w io.Writer, rows []Row, byLoss bool) error {
+	p := plot.New()
+	p.Title.Text = "a death known to others, simulated"
+	p.Y.Label.Text = "ms from the kill"
+	p.Y.Min, p.Legend.Top = 0, true
+	type line struct {
+		label string
+		p50   plotter.XYs
+		p99   plotter.XYs
+	}
+	var lines []*line
+	for _, r := range rows {
+		x, label := float64(r.Processes), fmt.Sprintf("%.0f%% lost", 100*r.Loss)
+		if byLoss {
+			x, label = 100*r.Loss, fmt.Sprintf("%d processes", r.Processes)
+		}
+		i := slices.IndexFunc(lines, func(l *line) bool { return l.label == label })
+		if i < 0 {
+			i, lines = len(lines), append(lines, &line{label: label})
+		}
+		l := lines[i]
+		l.p50, l.p99 = append(l.p50, plotter.XY{X: x, Y: r.P50}), append(l.p99, plotter.XY{X: x, Y: r.P99})
+	}
+	if p.X.Label.Text = "% of datagrams lost"; !byLoss {
+		p.X.Label.Text = "processes"
+		p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	}
+	var all []any
+	for _, l := range lines {
+		all = append(all, l.label+", p50", l.p50, l.label+", p99", l.p99)
+	}
+	if err := plotutil.AddLinePoints(p, all...); err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	svg, err := p.WriterTo(16*vg.Centimeter, 10*vg.Centimeter, "svg")
+	if err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	_, err = svg.WriteTo(w)
+	return err
 }
 
 // bound is SWIM's expectation, ms: the first probe of the dead one by anybody, e/(e-1) periods, its time, and a suspicion
