How evenly many schedulers load nodes, measured beside baselines (simulated)

ravenpond lab herd: the program on the virtual clock at a part of its room; the fullest node beside the mean, variation, Jain's index, idle nodes, offers that meet within a report's lag, refusals, start p99, time until even again; baselines random, least loaded by the late list, two choices, careful, and one that sees the true state.

--- /dev/null
+++ b/cmd/ravenpond/herd.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+
+	"ravenpond/internal/lab/herd"
+	"ravenpond/internal/lab/sim"
+)
+
+type herdCommand struct {
+	Schedulers int      `default:"30" help:"How many."`
+	Nodes      int      `default:"40" help:"How many."`
+	Filled     float64  `default:"0.7" help:"Part of all room that work fills."`
+	Life       float64  `default:"4" help:"Seconds that work runs."`
+	Lasts      float64  `default:"20" help:"Seconds; the first one and a half lives do not count."`
+	Services   int      `default:"100" help:"Services of each job type."`
+	Seeds      int      `default:"5" help:"How many of each policy."`
+	Workers    int      `default:"0" help:"Seeds at a time; 0: one a core."`
+	Policies   []string `help:"design (the module), random, least-loaded, best-of-two, careful, true-state; all without."`
+	Members    bool     `help:"Schedulers know each other."`
+	Fault      []string `sep:"none" help:"What goes wrong, as in lab run's scripts: 'MS KIND WHO OTHER FOR-MS SIZE', - for none. May be given again."`
+}
+
+// Run plays many schedulers and tells how evenly nodes are loaded; all of it is simulated.
+func (c *herdCommand) Run(ctx context.Context) error {
+	if c.Workers == 0 {
+		c.Workers = runtime.NumCPU()
+	}
+	if len(c.Policies) == 0 {
+		c.Policies = herd.Names
+	}
+	s := herd.Scene{Schedulers: c.Schedulers, Nodes: c.Nodes, Filled: c.Filled, Life: c.Life * 1000, Lasts: c.Lasts * 1000, Services: c.Services,
+		Members: c.Members}
+	for _, text := range c.Fault {
+		f := strings.Fields(text)
+		if len(f) != 6 {
+			return fmt.Errorf("fault %q: MS KIND WHO OTHER FOR-MS SIZE is expected", text)
+		}
+		at, err1 := strconv.ParseFloat(f[0], 64)
+		lasts, err2 := strconv.ParseFloat(f[4], 64)
+		size, err3 := strconv.ParseFloat(f[5], 64)
+		if err1 != nil || err2 != nil || err3 != nil {
+			return fmt.Errorf("fault %q: numbers are expected for time, span and size", text)
+		}
+		none := func(who string) string { return strings.TrimPrefix(who, "-") }
+		s.Faults = append(s.Faults, sim.Fault{At: at, Kind: f[1], A: none(f[2]), B: none(f[3]), For: lasts, Size: size})
+	}
+	_, err := herd.Table(os.Stdout, s, c.Policies, c.Seeds, c.Workers)
+	return err
+}
--- a/cmd/ravenpond/main.go
+++ b/cmd/ravenpond/main.go
@@ -54,6 +54,7 @@
 		Run      runCommand      `cmd:"" help:"Run the program on a virtual clock and network under faults drawn from seeds."`
 		Members  circleCommand   `cmd:"" help:"Play or measure schedulers that know each other, on a virtual clock and network."`
 		Procs    procsCommand    `cmd:"" help:"Play a script of faults for many scheduler processes on loopback."`
+		Herd     herdCommand     `cmd:"" help:"How evenly many schedulers load nodes, beside baselines; simulated."`
 		Draw     drawCommand     `cmd:"" help:"Print the script of a seed."`
 		Replay   replayCommand   `cmd:"" help:"Play a script."`
 		Compare  compareCommand  `cmd:"" help:"Compare two placement policies on the same days."`
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -56,6 +56,17 @@
 	waits  []uint32
 	page   map[uint32]bool
 	kind   logic.ListKind
+	sees   func(node uint32) float64 // the load as it is, for who sees the true state; nil: by the list and its own
+}
+
+// Seeing gives what makes a policy that takes the least loaded node by the true state, which no scheduler has: the best that knowledge
+// alone could bring.
+func Seeing(load func(node uint32) float64) func(host logic.Host, now float64, seed uint64, cl *logic.Cluster) logic.Told {
+	return func(host logic.Host, now float64, seed uint64, cl *logic.Cluster) logic.Told {
+		p := Made("least-loaded")(host, now, seed, cl).(*Policy)
+		p.sees = load
+		return p
+	}
 }
 
 // Made gives what makes a policy of a name.
@@ -264,6 +275,9 @@
 	}
 	load := func(i int) float64 {
 		n := &p.nodes[i]
+		if p.sees != nil {
+			return p.sees(n.id)
+		}
 		return max((n.own[0]-n.room[0])/p.cl.KindCores[n.kind], (n.own[1]-n.room[1])/p.cl.KindMemory[n.kind])
 	}
 	x := may[p.rng.IntN(len(may))]
--- /dev/null
+++ b/internal/lab/herd/virtual.go
@@ -0,0 +1,182 @@
+package herd
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"sync"
+	"text/tabwriter"
+
+	"ravenpond/internal/audit"
+	"ravenpond/internal/engine"
+	"ravenpond/internal/lab/baseline"
+	"ravenpond/internal/lab/sim"
+	"ravenpond/internal/standin"
+)
+
+// Names of what decides: the module, the baselines, and one that sees the true state.
+var Names = append(append([]string{"design"}, baseline.Names...), "true-state")
+
+// Scene is what is played.
+type Scene struct {
+	Schedulers, Nodes int
+	Filled            float64 // part of the room that work fills
+	Life              float64 // ms that work runs
+	Lasts             float64 // ms
+	Services          int     // of each job type
+	Members           bool
+	Faults            []sim.Fault
+}
+
+// Of the laboratory's nodes and work: room for so many allocations of mean size.
+const perNode = 32
+
+// warm is how long after its start a node is taken for warm, ms.
+const warm = 3000
+
+// rate is asks a second that fill so much.
+func (s Scene) rate() float64 { return s.Filled * perNode * float64(s.Nodes) / (s.Life / 1000) }
+
+// Virtual plays a scene on the laboratory's clock under a policy; what it sees is simulated.
+func Virtual(s Scene, policy string, seed uint64) (*Watch, error) {
+	w := &Watch{}
+	var nodes []*standin.Node
+	g := sim.Game{Lenient: true, Settles: 500, Life: s.Life, Services: s.Services,
+		Script: sim.Script{Seed: seed, Nodes: s.Nodes, Schedulers: s.Schedulers, Shards: 1, Share: "shared", Rate: s.rate(), Lasts: s.Lasts,
+			Members: s.Members, Faults: s.Faults}}
+	switch {
+	case policy == "design":
+	case policy == "true-state":
+		g.Policy = baseline.Seeing(func(node uint32) float64 {
+			if i := int(node) - 1; i >= 0 && i < len(nodes) {
+				return nodes[i].Machine.Asked()
+			}
+			return 0
+		})
+	case slices.Contains(baseline.Names, policy):
+		g.Policy = engine.Policy(baseline.Made(policy))
+	default:
+		return nil, fmt.Errorf("no policy %q; there are %v", policy, Names)
+	}
+	g.Moment = func(now float64, all []*standin.Node) {
+		nodes = all
+		w.See(seen(now, all))
+	}
+	asked := map[[2]uint64]float64{}
+	g.Seen = func(r *audit.Record) { w.record(r, asked) }
+	if v := g.Play(); v.Broken != "" {
+		return nil, fmt.Errorf("seed %d: %s", seed, v.Broken)
+	}
+	return w, nil
+}
+
+// seen is a moment of nodes: those that are there, take work and are warm.
+func seen(now float64, all []*standin.Node) Moment {
+	m := Moment{At: now, Load: map[uint32]float64{}}
+	for _, n := range all {
+		if !n.Lost && !n.Drains && !n.Machine.Down() && n.Machine.Up(now) >= warm {
+			m.Load[n.ID] = n.Machine.Asked()
+		}
+	}
+	return m
+}
+
+// record takes what passes.
+func (w *Watch) record(r *audit.Record, asked map[[2]uint64]float64) {
+	key := [2]uint64{uint64(r.Owner), r.Ref}
+	switch r.Kind {
+	case audit.Offered:
+		w.Offer(r.At, r.Node)
+	case audit.Concluded:
+		if r.Word == "refused" {
+			w.Refuse()
+		}
+	case audit.Asked:
+		asked[key] = r.At
+		w.Ask()
+	case audit.Answered:
+		if at, ok := asked[key]; ok {
+			w.Answer(r.Word == "served", r.At-at)
+			delete(asked, key)
+		}
+	}
+}
+
+// Row is what came of a policy over some seeds.
+type Row struct {
+	Policy string
+	All    []Figures // by seed
+	Even   []float64 // ms until even again after the last change, by seed; NaN where nothing changed
+}
+
+// again is when all counts as even again: the fullest node at so many times the mean.
+const again = 1.25
+
+// Table plays a scene under policies, for some seeds each, so many at a time.
+func Table(out io.Writer, s Scene, policies []string, seeds, workers int) (rows []Row, err error) {
+	changed := math.NaN()
+	for _, f := range s.Faults {
+		if end := f.At + f.For; math.IsNaN(changed) || end > changed {
+			changed = end
+		}
+	}
+	var mu sync.Mutex
+	var work sync.WaitGroup
+	places := make(chan bool, max(1, workers))
+	for _, p := range policies {
+		rows = append(rows, Row{Policy: p, All: make([]Figures, seeds), Even: make([]float64, seeds)})
+	}
+	for i, p := range policies {
+		for seed := range seeds {
+			work.Go(func() {
+				places <- true
+				defer func() { <-places }()
+				w, fault := Virtual(s, p, uint64(seed)+1)
+				mu.Lock()
+				defer mu.Unlock()
+				if err = fault; err != nil {
+					return
+				}
+				rows[i].All[seed], rows[i].Even[seed] = w.Figures(s.Life*1.5, s.Lasts), math.NaN()
+				if !math.IsNaN(changed) {
+					rows[i].Even[seed] = w.Even(changed, again)
+				}
+			})
+		}
+	}
+	work.Wait()
+	if err != nil {
+		return nil, err
+	}
+	return rows, Print(out, rows)
+}
+
+// Print writes rows: the mean over seeds, and the least and most where they tell.
+func Print(out io.Writer, rows []Row) error {
+	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "policy\tload\tfullest p50\tp99\t(seeds)\tCV\tJain\tidle ms\ttogether\trefused\tstart p99 ms\tserved\teven again ms\t")
+	for _, r := range rows {
+		of := func(f func(*Figures) float64) (mean, least, most float64) {
+			least, most = math.Inf(1), math.Inf(-1)
+			for i := range r.All {
+				x := f(&r.All[i])
+				mean, least, most = mean+x/float64(len(r.All)), min(least, x), max(most, x)
+			}
+			return
+		}
+		mean := func(f func(*Figures) float64) float64 { m, _, _ := of(f); return m }
+		p99, least, most := of(func(f *Figures) float64 { return f.Fullest99 })
+		_, _, idle := of(func(f *Figures) float64 { return f.Idle })
+		_, _, together := of(func(f *Figures) float64 { return float64(f.Together) })
+		even := "-"
+		if len(r.Even) > 0 && !math.IsNaN(r.Even[0]) {
+			even = fmt.Sprintf("%.0f to %.0f", slices.Min(r.Even), slices.Max(r.Even))
+		}
+		fmt.Fprintf(tw, "%s\t%.2f\t%.2f\t%.2f\t%.2f to %.2f\t%.3f\t%.3f\t%.0f\t%.0f\t%.2f%%\t%.0f\t%.1f%%\t%s\t\n", r.Policy, mean(func(f *Figures) float64 { return f.Mean }),
+			mean(func(f *Figures) float64 { return f.Fullest50 }), p99, least, most, mean(func(f *Figures) float64 { return f.Vary }),
+			mean(func(f *Figures) float64 { return f.Jain }), idle, together, 100*mean(func(f *Figures) float64 { return f.Refused }),
+			mean(func(f *Figures) float64 { return f.Start99 }), 100*mean(func(f *Figures) float64 { return f.Served }), even)
+	}
+	return tw.Flush()
+}
--- a/internal/lab/sim/play.go
+++ b/internal/lab/sim/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"math"
@@ -112,14 +113,16 @@
 // Game is how a script is played.
 type Game struct {
 	Script
-	Plant   *Plant                                       // a fault in the program, or none
-	Out     io.Writer                                    // is given the trace in words, if it is not nil
-	Policy  engine.Policy                                // instead of the module
-	Seen    func(*audit.Record)                          // is given each record
-	Uses    func(now float64, tenant string, open []int) // is told, of each scheduler, how many of a limited tenant are open
-	Life    float64                                      // ms that work runs, if not the usual
-	Settles float64                                      // ms after the last ask, if not the usual
-	Lenient bool                                         // goes on when a rule breaks, and counts: for policies that keep few
+	Plant    *Plant                                       // a fault in the program, or none
+	Out      io.Writer                                    // is given the trace in words, if it is not nil
+	Policy   engine.Policy                                // instead of the module
+	Seen     func(*audit.Record)                          // is given each record
+	Moment   func(now float64, nodes []*standin.Node)     // is shown the nodes, each 50 ms
+	Services int                                          // of each job type, if not the usual
+	Uses     func(now float64, tenant string, open []int) // is told, of each scheduler, how many of a limited tenant are open
+	Life     float64                                      // ms that work runs, if not the usual
+	Settles  float64                                      // ms after the last ask, if not the usual
+	Lenient  bool                                         // goes on when a rule breaks, and counts: for policies that keep few
 }
 
 // Play plays a script, with a fault planted in the program or none; the trace is written in words if out is not nil.
@@ -159,6 +162,9 @@
 	for st.v.Broken == "" && st.c.step(end) {
 		if st.c.now >= look {
 			look = st.c.now + 50
+			if g.Moment != nil {
+				g.Moment(st.c.now, st.nodes)
+			}
 			st.check()
 		}
 	}
@@ -422,7 +428,7 @@
 	}
 	st.keys++
 	job := []int{0, 0, 0, 1, 1, 2, 2, 3}[st.rng.IntN(8)]
-	key, service := fmt.Sprint("k", st.keys), fmt.Sprint("v", job, st.rng.IntN(services))
+	key, service := fmt.Sprint("k", st.keys), fmt.Sprint("v", job, st.rng.IntN(cmp.Or(st.game.Services, services)))
 	tenant := clubNames[st.rng.IntN(2)]
 	o := st.owners[st.rng.IntN(len(st.owners))]
 	if st.Hosted {
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -561,6 +561,11 @@
 	return m.oldReport
 }
 
+// Asked is the part of its room that is asked for, the larger of cores and memory.
+func (m *Machine) Asked() float64 {
+	return max(m.asked[0]/(m.Cores*m.CoresLimit), m.asked[1]/(m.Memory*m.MemoryLimit))
+}
+
 // Free is what nobody has asked for.
 func (m *Machine) Free() (cores, memory float64) { return m.Cores - m.asked[0], m.Memory - m.asked[1] }
 
