What a scheduler shows of the others waits for no disk and goes by the folder's disk

Seen: members.json was written each second with two syncs, past outside.World's disk. It is for people alone: replaced whole by a rename, without a sync, by the same disk as all else in the folder (state.Folder.Show).

--- a/internal/lab/sim/disk.go
+++ b/internal/lab/sim/disk.go
@@ -41,6 +41,12 @@
 	return nil
 }
 
+// Show replaces a file that nothing rests on.
+func (d *Disk) Show(name string, text []byte) error {
+	d.files[name] = append([]byte(nil), text...)
+	return nil
+}
+
 // Close lets it go.
 func (d *Disk) Close() error { return nil }
 
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -6,15 +6,12 @@
 	"maps"
 	"math"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/google/renameio/v2"
-
 	"ravenpond/internal/decide/degree"
 	decide "ravenpond/internal/decide/members"
 	"ravenpond/internal/members"
@@ -287,9 +284,6 @@
 }
 
 func (s *Server) writeMembers() {
-	if s.who.Folder == "" {
-		return
-	}
 	now := s.w.Now()
 	v := View{Name: s.who.Name, At: s.w.Wall(), Share: s.sharing(now), Degree: s.circle.degree.Now().String()}
 	s.circle.run.See(func(d *decide.Detector) {
@@ -305,7 +299,7 @@
 	})
 	b, err := json.MarshalIndent(v, "", " ")
 	if err == nil {
-		err = renameio.WriteFile(filepath.Join(s.who.Folder, MembersFile), b, 0o640)
+		err = s.folder.Show(MembersFile, b)
 	}
 	if err != nil {
 		s.log.Error().Str("mode", "members").Err(err).Msg("view not written")
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -38,6 +38,9 @@
 	// Write replaces a file as a whole: after a crash at any moment it is the old or the new one, and once Write has
 	// returned the new one.
 	Write(name string, text []byte) error
+	// Show replaces a file that people read and nothing rests on: who reads it finds the old or the new one, whole, but it need not
+	// outlive the machine, so nobody waits for the disk.
+	Show(name string, text []byte) error
 	Close() error
 }
 
@@ -56,6 +59,9 @@
 	return On(disk), nil
 }
 
+// Show replaces a file that people read and nothing rests on.
+func (f *Folder) Show(name string, text []byte) error { return f.disk.Show(name, text) }
+
 // Close lets the folder go.
 func (f *Folder) Close() error { return f.disk.Close() }
 
@@ -90,6 +96,17 @@
 	return text, err
 }
 
+func (f *files) Show(name string, text []byte) error {
+	path := filepath.Join(f.path, name)
+	if err := os.WriteFile(path+".new", text, 0o640); err != nil {
+		return fmt.Errorf("showing %s: %w", path, err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		return fmt.Errorf("showing %s: %w", path, err)
+	}
+	return nil
+}
+
 func (f *files) Write(name string, text []byte) error {
 	path := filepath.Join(f.path, name)
 	if err := renameio.WriteFile(path, text, 0o640); err != nil {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -90,6 +90,8 @@
 type memory map[string][]byte
 
 func (m memory) Read(name string) ([]byte, error)     { return m[name], nil }
+func (m memory) Show(name string, text []byte) error { m[name] = text; return nil }
+
 func (m memory) Write(name string, text []byte) error { m[name] = slices.Clone(text); return nil }
 func (m memory) Close() error                         { return nil }
 
@@ -126,3 +128,27 @@
 		}
 	})
 }
+
+// TestShow replaces what people read, whole, and leaves nothing beside it.
+func TestShow(t *testing.T) {
+	path := t.TempDir()
+	f, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	for _, text := range []string{"a long first one", "short"} {
+		if err := f.Show("view.json", []byte(text)); err != nil {
+			t.Fatal(err)
+		}
+		if b, err := os.ReadFile(filepath.Join(path, "view.json")); err != nil || string(b) != text {
+			t.Errorf("%q, %v", b, err)
+		}
+	}
+	if _, err := os.Stat(filepath.Join(path, "view.json.new")); !os.IsNotExist(err) {
+		t.Errorf("left behind: %v", err)
+	}
+	if err := f.Show("none/view.json", nil); err == nil {
+		t.Error("shown where there is no folder")
+	}
+}
