--- a/cmd/ravenpond/procs.go
+++ b/cmd/ravenpond/procs.go
@@ -71,6 +71,11 @@
 		fmt.Printf("deaths of those who lived: %d\n", wrong)
 	}
 	fmt.Printf("answers %v, broken rules %d\n", res.Answers, len(res.Breaks))
+	if n := len(res.Starts); n > 0 {
+		fmt.Printf("start p50 %.1f ms, p99 %.1f ms\n", res.Starts[n/2], res.Starts[n*99/100])
+	}
+	fmt.Printf("CPU of all schedulers %.2f s: %.2f%% of a core each\n", res.CPU.Seconds(),
+		100*res.CPU.Seconds()/time.Since(began).Seconds()/float64(c.Schedulers))
 	for i, b := range res.Breaks {
 		if i < 10 {
 			fmt.Println(b)
--- a/internal/lab/procs/procs.go
+++ b/internal/lab/procs/procs.go
@@ -89,6 +89,7 @@
 	held  []audit.Record // words of the list that lie on a way that is cut
 	lanes map[[2]int]Lane
 	kills []kill
+	cpu   time.Duration // of schedulers that have ended
 }
 
 // kill is one that was killed, and when.
@@ -417,8 +418,10 @@
 	at := time.Now()
 	_ = x.cmd.Process.Kill()
 	_ = x.cmd.Wait()
+	used := x.cmd.ProcessState.UserTime() + x.cmd.ProcessState.SystemTime()
 	x.cmd = nil
 	r.mu.Lock()
+	r.cpu += used
 	r.kills = append(r.kills, kill{who: i, at: at})
 	r.mu.Unlock()
 	r.w.Trace.Add(audit.Record{At: r.w.Now(), Kind: audit.Killed, Sched: x.name})
@@ -610,6 +613,8 @@
 type Result struct {
 	Breaks  []audit.Break
 	Answers map[string]int
+	Starts  []float64     // ms from ask to answer of those served at their first ask, sorted
+	CPU     time.Duration // of all schedulers together, of all their lives
 }
 
 // End waits until all asks are answered or overdue, ends all and audits.
@@ -624,9 +629,16 @@
 	for _, x := range r.all {
 		for _, t := range x.owner.Tallies() {
 			res.Answers[t.Word]++
+			if t.Word == "served" && t.First {
+				res.Starts = append(res.Starts, t.Took)
+			}
 		}
 	}
+	slices.Sort(res.Starts)
 	r.close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	res.CPU = r.cpu
 	return res
 }
 
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -89,7 +89,7 @@
 // memory is a disk of files.
 type memory map[string][]byte
 
-func (m memory) Read(name string) ([]byte, error)     { return m[name], nil }
+func (m memory) Read(name string) ([]byte, error)    { return m[name], nil }
 func (m memory) Show(name string, text []byte) error { m[name] = text; return nil }
 
 func (m memory) Write(name string, text []byte) error { m[name] = slices.Clone(text); return nil }
