--- a/logic/logic.go
+++ b/logic/logic.go
@@ -667,17 +667,11 @@
 		rent = s.usage(nd, a)
 	}
 	if !held {
-		rent += min(fetchMost, s.slow(a.job)*fetchStep*lot(s.svcs[a.svc].key, nd.id)*float64(s.ready))
+		rent += min(fetchMost, fetchStep*lot(s.svcs[a.svc].key, nd.id)*float64(s.ready))
 	}
 	return gPlain*sum - rent - failCost*(nd.risk(a.job)+s.strain(nd))
 }
 
-// slow is the part of the target delay that a job type's slowest starts take, 1 as long as few are known. Where the
-// program comes fast, going to where it is held is not worth an uneven load.
-func (s *Scheduler) slow(job int) float64 {
-	return min(1, s.jobs[job].starts.quantile(0.95)/s.jobs[job].Target)
-}
-
 // lot gives a service's key and a node a number from 0 to 1, the same at all schedulers.
 func lot(key uint64, id uint32) float64 {
 	p := pcg{key ^ uint64(id)*0x9e3779b97f4a7c15}
