Read again: one codec part, one lease, one way to all shards; the herd hides no fault

A fault line is read by sim.ParseFault now, and a scene is checked as a script is. Three copies of the codec's bound, two of its three-number messages, two of a lease's answer, two tests' mains, five of the walk over all shards are one each. Out: a condition that was always true in Engine.Ended, state in Loan that its reader derives, a number in the laboratory that the site file holds.

--- a/cmd/ravenpond/herd.go
+++ b/cmd/ravenpond/herd.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"os"
 	"runtime"
-	"strconv"
-	"strings"
 
 	"ravenpond/internal/lab/herd"
 	"ravenpond/internal/lab/sim"
@@ -37,19 +35,12 @@
 	s := herd.Scene{Schedulers: c.Schedulers, Nodes: c.Nodes, Filled: c.Filled, Life: c.Life * 1000, Lasts: c.Lasts * 1000, Services: c.Services,
 		Members: c.Members}
 	for _, text := range c.Fault {
-		f := strings.Fields(text)
-		if len(f) != 6 {
-			return fmt.Errorf("fault %q: MS KIND WHO OTHER FOR-MS SIZE is expected", text)
+		f, err := sim.ParseFault(text)
+		if err != nil {
+			return fmt.Errorf("fault %q: MS KIND WHO OTHER FOR-MS SIZE is expected: %w", text, err)
 		}
-		at, err1 := strconv.ParseFloat(f[0], 64)
-		lasts, err2 := strconv.ParseFloat(f[4], 64)
-		size, err3 := strconv.ParseFloat(f[5], 64)
-		if err1 != nil || err2 != nil || err3 != nil {
-			return fmt.Errorf("fault %q: numbers are expected for time, span and size", text)
-		}
-		none := func(who string) string { return strings.TrimPrefix(who, "-") }
-		s.Faults = append(s.Faults, sim.Fault{At: at, Kind: f[1], A: none(f[2]), B: none(f[3]), For: lasts, Size: size})
+		s.Faults = append(s.Faults, f)
 	}
-	_, err := herd.Table(os.Stdout, s, c.Policies, c.Seeds, c.Workers)
+	_, err := herd.Table(ctx, os.Stdout, s, c.Policies, c.Seeds, c.Workers)
 	return err
 }
--- a/internal/decide/lend/lend.go
+++ b/internal/decide/lend/lend.go
@@ -4,11 +4,7 @@
 // limit: those who hold a lease each reckon with all who do, and who held one reckons with what is still open by it.
 package lend
 
-import (
-	"math"
-
-	"ravenpond/internal/decide/fair"
-)
+import "ravenpond/internal/decide/fair"
 
 // Part is what a process may use of limits at a moment. The zero value is of a process that is alone.
 type Part struct {
@@ -48,12 +44,7 @@
 }
 
 // Take takes what the last look says: how many share, 0 if there is no lease, and until when that holds.
-func (l *Loan) Take(sharers int, until float64) {
-	l.sharers, l.until = sharers, until
-	if sharers <= 0 {
-		l.sharers, l.until = 0, math.Inf(-1)
-	}
-}
+func (l *Loan) Take(sharers int, until float64) { l.sharers, l.until = sharers, until }
 
 // Now is how many share as far as this process may use its part now, and whether that differs from the last time it was asked: then
 // limits are to be set anew before anything passes by them.
--- a/internal/decide/members/members.go
+++ b/internal/decide/members/members.go
@@ -288,27 +288,24 @@
 // Sharers is how many share what a cold node bears, as far as this process has to reckon with, 0 if it takes no part; and
 // until when that holds at the latest if nobody says anything more.
 func (d *Detector) Sharers(now float64) (n int, until float64) {
-	if d.share == nil || d.taken || d.leaving {
-		return 0, now
-	}
-	if d.who.Plant.Grows {
-		alive, _, _, _ := d.Count()
-		return alive + 1, math.Inf(1)
-	}
-	return d.share.Sharers(now), d.share.Until(now)
+	return d.lease(d.share, now)
 }
 
 // Lent is how many share what is lent of limits, as far as this process has to reckon with, 0 if it has no lease on it; and until when
 // that holds at the latest.
 func (d *Detector) Lent(now float64) (n int, until float64) {
-	if d.lent == nil || d.taken || d.leaving {
+	return d.lease(d.lent, now)
+}
+
+func (d *Detector) lease(h *parts.Holder, now float64) (n int, until float64) {
+	if h == nil || d.taken || d.leaving {
 		return 0, now
 	}
 	if d.who.Plant.Grows {
 		alive, _, _, _ := d.Count()
 		return alive + 1, math.Inf(1)
 	}
-	return d.lent.Sharers(now), d.lent.Until(now)
+	return h.Sharers(now), h.Until(now)
 }
 
 // NodeLost says that this process hears a node no more, which it knew in such a life: the others are asked for it.
--- a/internal/engine/nodes.go
+++ b/internal/engine/nodes.go
@@ -412,7 +412,7 @@
 	}
 	n, over := &e.nodes[nd], 0
 	for i := len(n.on) - 1; i >= 0; i-- {
-		if p := n.on[i]; e.allocs[p].phase != held && doubt.Returned(false, false) == doubt.MayHave {
+		if p := n.on[i]; e.allocs[p].phase != held { // that was never sent
 			e.settle(p, logic.Broken, logic.NotTold, nil)
 			over++
 		}
--- a/internal/lab/circle/measure.go
+++ b/internal/lab/circle/measure.go
@@ -6,7 +6,6 @@
 	"io"
 	"math"
 	"slices"
-	"sync"
 	"text/tabwriter"
 
 	"gonum.org/v1/plot"
@@ -15,6 +14,7 @@
 	"gonum.org/v1/plot/vg"
 
 	decide "ravenpond/internal/decide/members"
+	"ravenpond/internal/lab/seeds"
 	"ravenpond/internal/lab/sim"
 )
 
@@ -48,19 +48,7 @@
 	fmt.Fprintln(tw, "processes\tloss\tmet ms\tknown p50\tp99\tmost\tbound\tnever\twrong\tdatagrams/s\tbytes/s\t")
 	for _, n := range sizes {
 		for _, loss := range losses {
-			all := make([]measured, runs)
-			var work sync.WaitGroup
-			places := make(chan bool, max(1, workers))
-			for i := range all {
-				work.Go(func() {
-					places <- true
-					defer func() { <-places }()
-					if ctx.Err() == nil {
-						all[i] = measure(uint64(i)+1, n, loss)
-					}
-				})
-			}
-			work.Wait()
+			all := seeds.Each(ctx, 1, uint64(runs)+1, workers, func(seed uint64) measured { return measure(seed, n, loss) })
 			if ctx.Err() != nil {
 				return rows, ctx.Err()
 			}
--- a/internal/lab/drill/drill_test.go
+++ b/internal/lab/drill/drill_test.go
@@ -14,16 +14,7 @@
 )
 
 // TestMain lets the test's own program be the scheduler process that a drill starts and kills.
-func TestMain(m *testing.M) {
-	if len(os.Args) > 1 && os.Args[1] == "serve" {
-		if err := spawn.Serve(os.Args[2:]); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
-		}
-		return
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { spawn.Main(m.Run) }
 
 const shortTroubles = `
   <window name="w" at="9s" lead="3s" for="5s" cell="quay-1"/>
--- a/internal/lab/herd/virtual.go
+++ b/internal/lab/herd/virtual.go
@@ -1,16 +1,17 @@
 package herd
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math"
 	"slices"
-	"sync"
 	"text/tabwriter"
 
 	"ravenpond/internal/audit"
 	"ravenpond/internal/engine"
 	"ravenpond/internal/lab/baseline"
+	runs "ravenpond/internal/lab/seeds"
 	"ravenpond/internal/lab/sim"
 	"ravenpond/internal/standin"
 )
@@ -45,6 +46,9 @@
 	g := sim.Game{Lenient: true, Settles: 500, Life: s.Life, Services: s.Services,
 		Script: sim.Script{Seed: seed, Nodes: s.Nodes, Schedulers: s.Schedulers, Shards: 1, Share: "shared", Rate: s.rate(), Lasts: s.Lasts,
 			Members: s.Members, Faults: s.Faults}}
+	if err := g.Script.Check(); err != nil {
+		return nil, err
+	}
 	switch {
 	case policy == "design":
 	case policy == "true-state":
@@ -114,40 +118,41 @@
 const again = 1.25
 
 // Table plays a scene under policies, for some seeds each, so many at a time.
-func Table(out io.Writer, s Scene, policies []string, seeds, workers int) (rows []Row, err error) {
+func Table(ctx context.Context, out io.Writer, s Scene, policies []string, seeds, workers int) (rows []Row, err error) {
 	changed := math.NaN()
 	for _, f := range s.Faults {
 		if end := f.At + f.For; math.IsNaN(changed) || end > changed {
 			changed = end
 		}
 	}
-	var mu sync.Mutex
-	var work sync.WaitGroup
-	places := make(chan bool, max(1, workers))
-	for _, p := range policies {
-		rows = append(rows, Row{Policy: p, All: make([]Figures, seeds), Even: make([]float64, seeds)})
+	type played struct {
+		f    Figures
+		even float64
+		err  error
 	}
-	for i, p := range policies {
-		for seed := range seeds {
-			work.Go(func() {
-				places <- true
-				defer func() { <-places }()
-				w, fault := Virtual(s, p, uint64(seed)+1)
-				mu.Lock()
-				defer mu.Unlock()
-				if err = fault; err != nil {
-					return
-				}
-				rows[i].All[seed], rows[i].Even[seed] = w.Figures(s.Life*1.5, s.Lasts), math.NaN()
-				if !math.IsNaN(changed) {
-					rows[i].Even[seed] = w.Even(changed, again)
-				}
-			})
+	all := runs.Each(ctx, 0, uint64(len(policies)*seeds), workers, func(i uint64) (p played) {
+		w, err := Virtual(s, policies[int(i)/seeds], i%uint64(seeds)+1)
+		if err != nil {
+			return played{err: err}
+		}
+		p = played{f: w.Figures(s.Life*1.5, s.Lasts), even: math.NaN()}
+		if !math.IsNaN(changed) {
+			p.even = w.Even(changed, again)
 		}
+		return p
+	})
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
 	}
-	work.Wait()
-	if err != nil {
-		return nil, err
+	for i, p := range all {
+		if p.err != nil {
+			return nil, p.err
+		}
+		if i%seeds == 0 {
+			rows = append(rows, Row{Policy: policies[i/seeds]})
+		}
+		r := &rows[len(rows)-1]
+		r.All, r.Even = append(r.All, p.f), append(r.Even, p.even)
 	}
 	return rows, Print(out, rows)
 }
--- a/internal/lab/herd/virtual_test.go
+++ b/internal/lab/herd/virtual_test.go
@@ -14,7 +14,7 @@
 func TestOrder(t *testing.T) {
 	s := Scene{Schedulers: 5, Nodes: 8, Filled: 0.6, Life: 3000, Lasts: 10000, Services: 30, Faults: []sim.Fault{{At: 6000, Kind: "restart", A: "n2", For: 400}}}
 	var out bytes.Buffer
-	rows, err := Table(&out, s, []string{"true-state", "design", "random"}, 2, 4)
+	rows, err := Table(t.Context(), &out, s, []string{"true-state", "design", "random"}, 2, 4)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/procs/procs_test.go
+++ b/internal/lab/procs/procs_test.go
@@ -1,7 +1,6 @@
 package procs
 
 import (
-	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -11,16 +10,7 @@
 )
 
 // TestMain lets the test's own program be the scheduler processes that the rig starts.
-func TestMain(m *testing.M) {
-	if len(os.Args) > 1 && os.Args[1] == "serve" {
-		if err := spawn.Serve(os.Args[2:]); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
-		}
-		return
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { spawn.Main(m.Run) }
 
 // soon waits until all agree.
 func soon(t *testing.T, r *Rig, within time.Duration) {
--- a/internal/lab/sim/clubs.go
+++ b/internal/lab/sim/clubs.go
@@ -117,7 +117,7 @@
 		})
 	case "tenant-limit":
 		l := limit{open: max(1, int(f.Size))}
-		l.from = longest + takesUp + st.turn(tenancy.Change{Kind: tenancy.Limit, Name: f.A, Limits: tenancy.Limits{Limits: fair.Limits{Share: 1, Open: l.open,
+		l.from = st.longest() + takesUp + st.turn(tenancy.Change{Kind: tenancy.Limit, Name: f.A, Limits: tenancy.Limits{Limits: fair.Limits{Share: 1, Open: l.open,
 			Wait: 20}}})
 		for _, s := range st.scheds {
 			if s.p.paused { // it hears of the change when it wakes
@@ -145,7 +145,7 @@
 }
 
 // longest is the longest expiry that owners ask for, ms.
-const longest = 2000
+func (st *stage) longest() float64 { return slices.Max(st.place.Expiry) }
 
 // overshoot holds what all schedulers have open of a tenant against its limit.
 func (st *stage) overshoot() {
@@ -160,8 +160,8 @@
 				all[i] = s.server.Uses(slot)
 				sum += all[i]
 			}
-			if s.p.resumed > l.from-longest-takesUp {
-				l.from = max(l.from, s.p.resumed+longest+takesUp)
+			if s.p.resumed > l.from-st.longest()-takesUp {
+				l.from = max(l.from, s.p.resumed+st.longest()+takesUp)
 			}
 		}
 		if st.game.Uses != nil {
--- a/internal/lab/sim/script.go
+++ b/internal/lab/sim/script.go
@@ -195,6 +195,18 @@
 	return b.String()
 }
 
+// ParseFault reads a fault as it stands in a script, behind its word.
+func ParseFault(text string) (f Fault, err error) {
+	if _, err = fmt.Sscan(text, &f.At, &f.Kind, &f.A, &f.B, &f.For, &f.Size); err != nil {
+		return f, err
+	}
+	f.A, f.B = strings.Trim(f.A, "-"), strings.Trim(f.B, "-")
+	if !slices.ContainsFunc(kinds, func(k kind) bool { return k.name == f.Kind }) {
+		err = fmt.Errorf("unknown fault %q", f.Kind)
+	}
+	return f, err
+}
+
 // Parse reads a script. Lines that begin with # say why it is there.
 func Parse(in io.Reader) (s Script, err error) {
 	lines := bufio.NewScanner(in)
@@ -216,31 +228,30 @@
 			return s, fmt.Errorf("script, line %d: %s stands twice", n, word)
 		}
 		seen[word] = true
-		var f Fault
 		into, ok := map[string][]any{"seed": {&s.Seed}, "nodes": {&s.Nodes}, "schedulers": {&s.Schedulers}, "shards": {&s.Shards, &s.Share},
-			"asked": {&s.Asks}, "cold": {&s.Cold}, "rate": {&s.Rate}, "lasts": {&s.Lasts}, "hosted": {&s.Hosted}, "members": {&s.Members},
-			"fault": {&f.At, &f.Kind, &f.A, &f.B, &f.For, &f.Size}}[word]
-		got := 0
-		if !ok {
-			err = fmt.Errorf("unknown word %q", word)
-		} else if got, err = fmt.Sscan(rest, into...); word == "fault" {
-			f.A, f.B = strings.Trim(f.A, "-"), strings.Trim(f.B, "-")
-			if err == nil && !slices.ContainsFunc(kinds, func(k kind) bool { return k.name == f.Kind }) {
-				err = fmt.Errorf("unknown fault %q", f.Kind)
-			}
+			"asked": {&s.Asks}, "cold": {&s.Cold}, "rate": {&s.Rate}, "lasts": {&s.Lasts}, "hosted": {&s.Hosted}, "members": {&s.Members}}[word]
+		switch {
+		case word == "fault":
+			var f Fault
+			f, err = ParseFault(rest)
 			s.Faults = append(s.Faults, f)
+		case !ok:
+			err = fmt.Errorf("unknown word %q", word)
+		default:
+			_, err = fmt.Sscan(rest, into...)
 		}
-		if err != nil || got != len(into) {
+		if err != nil {
 			return s, fmt.Errorf("script, line %d: %.60q: %w", n, text, err)
 		}
 	}
 	if err := lines.Err(); err != nil {
 		return s, fmt.Errorf("script: %w", err)
 	}
-	return s, s.check()
+	return s, s.Check()
 }
 
-func (s *Script) check() error {
+// Check tells what is wrong with a script.
+func (s *Script) Check() error {
 	switch {
 	case s.Nodes < 1 || s.Nodes > 2000 || s.Schedulers < 1 || s.Schedulers > 4096 || s.Shards < 1 || s.Shards > mostShards:
 		return fmt.Errorf("script: 1 to 2000 nodes, 1 to 4096 schedulers and 1 to %d shards are expected", mostShards)
@@ -274,7 +285,7 @@
 // Shrink takes out of a script what is not needed for it to fail: faults first, then time and nodes.
 func Shrink(s Script, fails func(Script) bool, say func(Script)) Script {
 	try := func(t Script) bool {
-		if t.check() == nil && fails(t) {
+		if t.Check() == nil && fails(t) {
 			s = t
 			say(s)
 			return true
--- a/internal/lab/spawn/spawn.go
+++ b/internal/lab/spawn/spawn.go
@@ -47,9 +47,19 @@
 	return nil, "", fmt.Errorf("scheduler did not begin within %s, see its log %s", atLatest, log.Name())
 }
 
-// Serve is what a process does that a test starts by its own program: it runs a scheduler by the flags of `ravenpond serve`
-// until it is told to end.
-func Serve(args []string) error {
+// Main runs tests, or is the scheduler process that a test starts by its own program with `serve` and its flags.
+func Main(tests func() int) {
+	if len(os.Args) < 2 || os.Args[1] != "serve" {
+		os.Exit(tests())
+	}
+	if err := byFlags(os.Args[2:]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// byFlags runs a scheduler by the flags of `ravenpond serve` until it is told to end.
+func byFlags(args []string) error {
 	flags := map[string]string{}
 	for i := 0; i+1 < len(args); i += 2 {
 		flags[args[i]] = args[i+1]
--- a/internal/proto/members/members.go
+++ b/internal/proto/members/members.go
@@ -108,10 +108,16 @@
 	item = number64(item, 4, version)
 	item = number64(item, 5, uint64(state))
 	item = text(item, 6, by)
-	if len(b)+len(item)+3+sealed > Most {
+	return part(b, 13, item)
+}
+
+// part appends a message as a field if it fits.
+func part(b []byte, field protowire.Number, message []byte) ([]byte, bool) {
+	const length = 2 // bytes that say how long it is, at most
+	if len(b)+protowire.SizeTag(field)+length+len(message)+sealed > Most {
 		return b, false
 	}
-	return protowire.AppendBytes(protowire.AppendTag(b, 13, protowire.BytesType), item), true
+	return protowire.AppendBytes(protowire.AppendTag(b, field, protowire.BytesType), message), true
 }
 
 func text(b []byte, field protowire.Number, s string) []byte {
@@ -230,24 +236,24 @@
 	})
 }
 
-func word(b []byte, t Taker) bool {
-	var node, version, gone uint64
+// numbers reads a message of three numbers, the first of which names a node.
+func numbers(b []byte) (node uint32, second, third uint64, ok bool) {
+	var all [3]uint64
 	err := fields(b, func(field protowire.Number, v uint64, _ []byte) bool {
-		switch field {
-		case 1:
-			node = v
-		case 2:
-			version = v
-		case 3:
-			gone = v
+		if field >= 1 && int(field) <= len(all) {
+			all[field-1] = v
 		}
 		return true
 	})
-	if err != nil || node > 1<<32-1 {
-		return false
+	return uint32(all[0]), all[1], all[2], err == nil && all[0] <= math.MaxUint32
+}
+
+func word(b []byte, t Taker) bool {
+	node, version, gone, ok := numbers(b)
+	if ok {
+		t.Word(node, version, gone != 0)
 	}
-	t.Word(uint32(node), version, gone != 0)
-	return true
+	return ok
 }
 
 // Silent appends a question for a node if it fits; false if it does not.
@@ -264,30 +270,15 @@
 	h := number64(nil, 1, uint64(node))
 	h = protowire.AppendFixed64(protowire.AppendTag(h, 2, protowire.Fixed64Type), life)
 	h = number64(h, 3, uint64(min(max(0, math.Ceil(ago)), math.MaxUint32)))
-	if len(b)+len(h)+4+sealed > Most {
-		return b, false
-	}
-	return protowire.AppendBytes(protowire.AppendTag(b, 21, protowire.BytesType), h), true
+	return part(b, 21, h)
 }
 
 func hears(b []byte, t Taker) bool {
-	var node, life, ago uint64
-	err := fields(b, func(field protowire.Number, v uint64, _ []byte) bool {
-		switch field {
-		case 1:
-			node = v
-		case 2:
-			life = v
-		case 3:
-			ago = v
-		}
-		return true
-	})
-	if err != nil || node > math.MaxUint32 || life == 0 || ago > math.MaxUint32 {
-		return false
+	node, life, ago, ok := numbers(b)
+	if ok = ok && life > 0 && ago <= math.MaxUint32; ok {
+		t.Hears(node, life, float64(ago))
 	}
-	t.Hears(uint32(node), life, float64(ago))
-	return true
+	return ok
 }
 
 // Word appends a word of a node if it fits; false if it does not.
@@ -296,10 +287,7 @@
 	if gone {
 		w = number64(w, 3, 1)
 	}
-	if len(b)+len(w)+4+sealed > Most {
-		return b, false
-	}
-	return protowire.AppendBytes(protowire.AppendTag(b, 17, protowire.BytesType), w), true
+	return part(b, 17, w)
 }
 
 func item(b []byte, t Taker) bool {
--- a/internal/serve/drains.go
+++ b/internal/serve/drains.go
@@ -265,12 +265,6 @@
 // drainHands act on all shards.
 type drainHands struct{ s *Server }
 
-func (h drainHands) all() []*shard {
-	h.s.desk.Lock()
-	defer h.s.desk.Unlock()
-	return h.s.living()
-}
-
 func ids(nodes []string) (all []uint32) {
 	for _, n := range nodes {
 		if id, err := strconv.ParseUint(n, 10, 32); err == nil {
@@ -293,7 +287,7 @@
 	}
 	h.s.marked = 0 // the list hears at the end of this look
 	h.s.desk.Unlock()
-	for _, sh := range h.all() {
+	for _, sh := range h.s.allShards() {
 		sh.tell(func(now float64) { sh.eng.Calendar(now, all, out) })
 	}
 }
@@ -325,7 +319,7 @@
 	may := make([]bool, len(h.s.who.Place.Jobs))
 	may[job] = true
 	left := most
-	for _, sh := range h.all() {
+	for _, sh := range h.s.allShards() {
 		h.s.desk.Lock()
 		c := h.s.counted[sh.index]
 		h.s.desk.Unlock()
--- a/internal/serve/list.go
+++ b/internal/serve/list.go
@@ -334,10 +334,7 @@
 
 // toAll tells news of the list to every shard: whichever asked, all may know.
 func (s *Server) toAll(kind logic.ListKind, entries []listEntry) {
-	s.desk.Lock()
-	shards := s.living()
-	s.desk.Unlock()
-	for _, sh := range shards {
+	for _, sh := range s.allShards() {
 		sh.hearList(kind, entries)
 	}
 }
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"maps"
 	"math"
 	"os"
 	"slices"
@@ -41,7 +40,7 @@
 	told    float64
 
 	linksMu sync.Mutex
-	links   map[uint32]*link // the connections to nodes, by which others are told what is heard here
+	links   map[uint32]*link // to nodes, over all trunks: whose own tables can't be asked under the detector's lock, which they call with theirs held
 }
 
 // keepMembers begins to know the others, where the site file has members.
@@ -148,21 +147,6 @@
 	return lives
 }
 
-// ended tells all shards of nodes whose life is over in which they were lost here.
-func (s *Server) ended(nodes map[uint32]uint64) {
-	if len(nodes) == 0 {
-		return
-	}
-	s.desk.Lock()
-	shards := s.living()
-	s.desk.Unlock()
-	for _, sh := range shards {
-		for _, nd := range slices.Sorted(maps.Keys(nodes)) {
-			sh.tell(func(now float64) { sh.eng.Ended(now, nd, nodes[nd]) })
-		}
-	}
-}
-
 // lookMembers takes over what the view says: how many share cold nodes, and how far this process is cut off.
 func (s *Server) lookMembers() {
 	now := s.w.Now()
@@ -170,7 +154,7 @@
 	var n, alive, known, has, needs, lent int
 	var until, lentUntil float64
 	var held []uint32
-	ended := map[uint32]uint64{}
+	var ended []func(sh *shard, now float64)
 	c.run.See(func(d *decide.Detector) {
 		n, until = d.Sharers(now + leaseEarly)
 		a, suspect, dead, _ := d.Count()
@@ -178,9 +162,13 @@
 		has, needs = d.Leaves(now)
 		held = d.Held(now)
 		lent, lentUntil = d.Lent(now + leaseEarly)
-		d.NodesEnded(func(node uint32, life uint64) { ended[node] = life })
+		d.NodesEnded(func(node uint32, life uint64) {
+			ended = append(ended, func(sh *shard, now float64) { sh.eng.Ended(now, node, life) })
+		})
 	})
-	s.ended(ended)
+	for _, tell := range ended {
+		s.tellShards(tell)
+	}
 	if s.lends() {
 		s.desk.Lock()
 		s.clubs.loan.Take(lent, lentUntil-leaseEarly)
@@ -216,15 +204,10 @@
 	}
 	gone := slices.DeleteFunc(slices.Clone(was), func(id uint32) bool { return slices.Contains(nodes, id) })
 	s.log.Info().Str("mode", "members").Int("held", len(nodes)).Int("freed", len(gone)).Msg("nodes held back on the word of others")
-	s.desk.Lock()
-	shards := s.living()
-	s.desk.Unlock()
-	for _, sh := range shards {
-		sh.tell(func(now float64) {
-			sh.eng.Warned(now, gone, false)
-			sh.eng.Warned(now, nodes, true)
-		})
-	}
+	s.tellShards(func(sh *shard, now float64) {
+		sh.eng.Warned(now, gone, false)
+		sh.eng.Warned(now, nodes, true)
+	})
 }
 
 // warn tells a new shard which nodes are held back.
--- a/internal/serve/resize.go
+++ b/internal/serve/resize.go
@@ -43,6 +43,20 @@
 	return all
 }
 
+// allShards gives them to who does not hold the desk.
+func (s *Server) allShards() []*shard {
+	s.desk.Lock()
+	defer s.desk.Unlock()
+	return s.living()
+}
+
+// tellShards has every shard hear something on its own loop.
+func (s *Server) tellShards(what func(sh *shard, now float64)) {
+	for _, sh := range s.allShards() {
+		sh.tell(func(now float64) { what(sh, now) })
+	}
+}
+
 // handsOver has each shard give what belongs elsewhere, and ends those that leave and hold nothing more.
 func (s *Server) handsOver() {
 	s.every(handover.LookEach(), func() {
