--- a/logic/logic.go
+++ b/logic/logic.go
@@ -125,6 +125,8 @@
 	measured                        float64
 	strain, strainAt                float64
 	acts                            []change
+	sum                             [2]float64 // of acts since the report, while summed
+	summed                          bool
 	held, own                       [2]float64 // asked by this scheduler's own, and in use by them
 	unanswered                      []int      // allocs with a try out
 	past                            []uint     // by job type the last outcomes, a bit each, 1 for a success
@@ -176,6 +178,18 @@
 	big, bigPart                [2]float64 // the largest seen; memory that large ones and all ask
 	bigValue                    float64    // and its job type's value and kind
 	bigKind                     int
+	full                        []want // found no node in this round
+}
+
+// want is what an allocation needs of a node.
+type want struct {
+	kind          int
+	cores, memory float64
+}
+
+// covers tells whether what has no room for w has none for x.
+func (w want) covers(x want) bool {
+	return (w.kind < 0 || w.kind == x.kind) && w.cores <= x.cores && w.memory <= x.memory
 }
 
 type scored struct {
@@ -204,8 +218,8 @@
 	return s
 }
 
-// Sharing says how many share what a cold node bears, where that changes; 0: this scheduler takes no part. Where
-// all together take turns, the turns of those who take no part lapse.
+// Sharing says how many share what a cold node bears, where that changes; 0: this scheduler takes no part.
+// Where all together take turns, the turns of those who take no part lapse.
 func (s *Scheduler) Sharing(schedulers int) {
 	s.apart = schedulers == 0
 	if s.share > 0 && schedulers > 0 {
@@ -233,7 +247,7 @@
 	fresh := !ok && s.listKind != ListCached || nd.avail == Gone && ok || since > nd.since && ok
 	nd.page, nd.zone, nd.cell, nd.kind = s.page, zone, cell, kind
 	if kind < len(s.cl.KindCores) {
-		nd.cores, nd.memory = s.cl.KindCores[kind], s.cl.KindMemory[kind]
+		nd.cores, nd.memory, nd.summed = s.cl.KindCores[kind], s.cl.KindMemory[kind], false
 	}
 	if avail == Ready && (fresh || nd.avail != Ready) {
 		s.enter(nd, since, fresh)
@@ -260,7 +274,7 @@
 	}
 	if fresh {
 		nd.known, nd.measured, nd.heard = false, 0, -1
-		nd.acts = nd.acts[:0]
+		nd.acts, nd.summed = nd.acts[:0], false
 		nd.recentUntil = max(nd.recentUntil, s.now+s.cl.ColdFor)
 	}
 }
@@ -293,7 +307,7 @@
 // measure takes a report of what nobody has asked for, measured at the given time.
 func (s *Scheduler) measure(nd *node, freeCores, freeMemory, at float64) {
 	if at >= nd.measured {
-		nd.free, nd.measured, nd.known = [2]float64{freeCores, freeMemory}, at, true
+		nd.free, nd.measured, nd.known, nd.summed = [2]float64{freeCores, freeMemory}, at, true, false
 	}
 }
 
@@ -325,14 +339,15 @@
 	if !nd.known {
 		return nd.held[0], nd.held[1]
 	}
-	cores, memory = nd.cores-nd.free[0], nd.memory-nd.free[1]
-	for _, c := range nd.acts {
-		if c.at > nd.measured {
-			cores += c.cores
-			memory += c.memory
+	if !nd.summed {
+		nd.sum, nd.summed = [2]float64{nd.cores - nd.free[0], nd.memory - nd.free[1]}, true
+		for _, c := range nd.acts {
+			if c.at > nd.measured {
+				nd.sum = [2]float64{nd.sum[0] + c.cores, nd.sum[1] + c.memory}
+			}
 		}
 	}
-	return max(cores, nd.held[0]), max(memory, nd.held[1])
+	return max(nd.sum[0], nd.held[0]), max(nd.sum[1], nd.held[1])
 }
 
 func (s *Scheduler) take(id uint32, jobType int, svcKey uint64, cores, memory float64) int {
@@ -438,6 +453,7 @@
 		return cmp.Compare(s.jobs[s.allocs[y].job].Value, s.jobs[s.allocs[x].job].Value)
 	})
 	s.survey()
+	s.full = s.full[:0]
 	left := s.waiting[:0]
 	for _, i := range s.waiting {
 		if a := &s.allocs[i]; !a.over && s.run(a) == keep {
@@ -518,11 +534,20 @@
 // choice draws the node: the design's filters, net benefit, and a uniform draw among the best. Only nodes of
 // the least flaw are in it: sound ones, else shut, else ill; no flaw filters out every node.
 func (s *Scheduler) choice(a *alloc) step {
-	kept, least := s.scores[:0], math.MaxInt
+	kept, least, barred := s.scores[:0], math.MaxInt, false
+	w := want{s.jobs[a.job].Kind, a.cores, a.memory}
+	// In a round nodes only fill, and who comes later is worth no more: a look for each of hundreds that wait
+	// would take longer than their owners do.
+	if slices.ContainsFunc(s.full, func(f want) bool { return f.covers(w) }) {
+		return keep
+	}
 	for i := range s.nodes {
 		nd, flaw := &s.nodes[i], 0
 		switch {
-		case nd.avail != Ready || !s.admits(a, i, nd):
+		case nd.avail != Ready || !s.admits(a, nd):
+			continue
+		case !s.permits(a, i, nd):
+			barred = true
 			continue
 		case nd.ill:
 			flaw = 2
@@ -538,9 +563,12 @@
 	}
 	s.scores = kept
 	if len(kept) == 0 {
+		if !barred {
+			s.full = append(s.full, w)
+		}
 		return keep
 	}
-	slices.SortStableFunc(kept, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
+	lead(kept, max(drawK, askFirst))
 	if s.asks(a, kept[:min(askFirst, len(kept))]) {
 		return keep
 	}
@@ -552,6 +580,21 @@
 	return pass
 }
 
+// lead brings the n best to the front, in order, among equals those that stood first.
+func lead(all []scored, n int) {
+	for i := range min(n, len(all)) {
+		best := i
+		for x := i + 1; x < len(all); x++ {
+			if all[x].score > all[best].score {
+				best = x
+			}
+		}
+		b := all[best]
+		copy(all[i+1:best+1], all[i:best])
+		all[i] = b
+	}
+}
+
 // asks probes those about to be drawn whose reports are old, once an allocation, and tells whether to wait.
 // It guards against draws on what a large fleet looked like long ago, as own allocations pay for few probes;
 // a node that does not answer in time is drawn on what is known.
@@ -574,11 +617,12 @@
 	return wait
 }
 
-// admits holds the design's filters and the guards that the rules need at each send.
-func (s *Scheduler) admits(a *alloc, i int, nd *node) bool {
-	if s.now < nd.restUntil || len(nd.unanswered) >= window || !s.permits(a, i, nd) ||
-		nd.home && nd.known && s.jobs[a.job].Value < s.bigValue &&
-			!s.room(nd, a.cores+s.big[0], a.memory+s.big[1]) {
+// admits holds the filters that look at what a node can take, alike for all that need and are worth as much,
+// and the guards that the rules need at each send.
+func (s *Scheduler) admits(a *alloc, nd *node) bool {
+	j := &s.jobs[a.job]
+	if s.now < nd.restUntil || len(nd.unanswered) >= window || j.Kind >= 0 && nd.kind != j.Kind ||
+		nd.home && nd.known && j.Value < s.bigValue && !s.room(nd, a.cores+s.big[0], a.memory+s.big[1]) {
 		return false
 	}
 	if nd.heard < 0 && len(nd.unanswered) > 0 || s.now < nd.recentUntil && !s.bears(nd) {
@@ -611,10 +655,10 @@
 	return len(nd.offers) < most && from >= s.born && !s.apart
 }
 
-// permits holds the filters that do not change while an allocation waits: kind, its group, spread.
+// permits holds the filters of the allocation itself: its tries, its group, spread.
 func (s *Scheduler) permits(a *alloc, i int, nd *node) bool {
 	j := &s.jobs[a.job]
-	if j.Kind >= 0 && nd.kind != j.Kind || slices.Contains(a.tried, i) {
+	if slices.Contains(a.tried, i) {
 		return false
 	}
 	if a.doubt && j.Effect == Tokened {
@@ -721,7 +765,11 @@
 		}
 	}
 	s.mean /= max(1, float64(len(s.byLoad)))
-	slices.SortStableFunc(s.byLoad, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
+	if s.cl.FleetPrice > 0 {
+		slices.SortFunc(s.byLoad, func(x, y scored) int {
+			return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.nd, y.nd))
+		})
+	}
 	for _, c := range s.byLoad {
 		nd := &s.nodes[c.nd]
 		nd.shut = s.cl.FleetPrice > 0 && have[0]*openAt >= need[0] && have[1]*openAt >= need[1]
@@ -735,7 +783,7 @@
 	}
 	for i := range s.nodes {
 		nd := &s.nodes[i]
-		nd.home = (s.bigKind < 0 || s.bigKind == nd.kind) && lot(0, nd.id)*able < homes
+		nd.home = homes > 0 && (s.bigKind < 0 || s.bigKind == nd.kind) && lot(0, nd.id)*able < homes
 	}
 }
 
@@ -760,7 +808,7 @@
 
 func (s *Scheduler) act(nd *node, at, cores, memory float64) {
 	nd.acts = slices.DeleteFunc(nd.acts, func(c change) bool { return c.at < s.now-keepActs })
-	nd.acts = append(nd.acts, change{at, cores, memory})
+	nd.acts, nd.summed = append(nd.acts, change{at, cores, memory}), false
 }
 
 // offerBack takes the try off its node's counts.
@@ -841,7 +889,7 @@
 	} else {
 		m = max(m, nd.memory*s.cl.MemoryLimit-a.memory*0.99)
 	}
-	nd.free, nd.measured, nd.known = [2]float64{nd.cores - c, nd.memory - m}, s.now, true
+	nd.free, nd.measured, nd.known, nd.summed = [2]float64{nd.cores - c, nd.memory - m}, s.now, true, false
 }
 
 // judge adds an outcome of a job type, 1 for a success, to a node's last few. An answered probe does not: it
