--- a/internal/decide/admit/admit.go
+++ b/internal/decide/admit/admit.go
@@ -3,7 +3,10 @@
 // against tables that grow until every answer is late, and against one tenant's flood filling the table.
 package admit
 
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 const (
 	crowded = 0.5 // part of the open limit from which a tenant is held to its share
@@ -82,6 +85,8 @@
 // is too late: a door that opens and shuts by age lets in a flood's worth each time. The heap that a hiccup leaves is
 // worked off; one that grows beyond that is a sign of overload, and then less may wait until little is declined.
 type Gate struct {
+	Burst, Standing float64 // ms, in place of the usual ones, if they are set
+
 	cost    float64 // ms of work an ask takes
 	tight   bool
 	since   float64 // when the present span began
@@ -94,6 +99,9 @@
 	span     = 200 // ms after which a tight gate looks back
 	few      = 0.2 // part of the asks declined in a span, below which it is not overload any more
 	heed     = 0.1 // weight of an ask in the cost
+
+	burstPart    = 0.2 // of the target delay, in place of the above
+	standingPart = 0.05
 )
 
 // Worked tells how long, in ms, a round took in which so many asks were worked off.
@@ -114,7 +122,7 @@
 func (g *Gate) Enter(now, unread float64, ahead int) bool {
 	wait := unread + float64(ahead)*g.cost
 	if !g.tight {
-		if wait <= burst {
+		if wait <= cmp.Or(g.Burst, burst) {
 			return true
 		}
 		g.tight, g.since, g.in, g.off = true, now, 0, 0
@@ -123,7 +131,7 @@
 		g.tight = float64(g.off) >= few*float64(g.in+g.off)
 		g.since, g.in, g.off = now, 0, 0
 	}
-	if g.tight && wait > standing {
+	if g.tight && wait > cmp.Or(g.Standing, standing) {
 		g.off++
 		return false
 	}
@@ -131,6 +139,15 @@
 	return true
 }
 
+// Cost is how many ms of work an ask took lately.
+func (g *Gate) Cost() float64 { return g.cost }
+
+// Within has the gate hold back by the time that asks are to be answered in, in ms: where owners wait for long, more may
+// wait for its turn.
+func Within(target float64) Gate {
+	return Gate{Burst: burstPart * target, Standing: standingPart * target}
+}
+
 // Tight tells whether the gate holds back by the lower limit.
 func (g *Gate) Tight() bool { return g.tight }
 
--- a/internal/decide/admit/admit_test.go
+++ b/internal/decide/admit/admit_test.go
@@ -133,3 +133,28 @@
 		}
 	}
 }
+
+// TestWithin has a gate follow how long owners wait.
+func TestWithin(t *testing.T) {
+	g := Within(1000)
+	g.Worked(10, 10)
+	for _, c := range []struct {
+		name   string
+		unread float64
+		ahead  int
+		want   bool
+	}{
+		{"usual", 0, 0, true},
+		{"a burst", 100, 90, true},
+		{"more than that", 100, 110, false},
+		{"held back once it is", 40, 20, false},
+		{"what is short goes in", 20, 20, true},
+	} {
+		if got := g.Enter(0, c.unread, c.ahead); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+	if !g.Tight() || g.Cost() != 1 {
+		t.Errorf("tight %v, cost %g", g.Tight(), g.Cost())
+	}
+}
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -68,6 +68,8 @@
 	case e.p.life != e.life || e.p.dead:
 	case e.p.paused:
 		e.p.late = append(e.p.late, e)
+	case e.p.core != nil:
+		e.p.core.take(e)
 	default:
 		c.steps++
 		e.run()
@@ -90,9 +92,11 @@
 type Process struct {
 	c    *Clock
 	Name string
-	life int
-	dead bool
-	rng  *rand.Rand
+	// Prompt has what the process sends leave with the call that sends it, not by a writer of its own.
+	Prompt bool
+	life   int
+	dead   bool
+	rng    *rand.Rand
 
 	paused  bool
 	resumed float64
@@ -104,7 +108,8 @@
 	base  float64
 
 	conns   []*conn
-	dieIn   int // effects after which it is killed, 0: not planned
+	core    *core // nil: its code takes no time
+	dieIn   int   // effects after which it is killed, 0: not planned
 	onDeath func()
 }
 
@@ -245,6 +250,7 @@
 	l.woken = false
 	l.gen++
 	gen := l.gen
+	l.p.costs(func(w *Work) float64 { return w.Turn })
 	wait := l.turn()
 	if wait < 0 {
 		l.ended = true
--- a/internal/outside/outside.go
+++ b/internal/outside/outside.go
@@ -77,8 +77,11 @@
 	// Send lets a message be appended to what waits. It returns how many bytes were ever sent so, and how many wait; false
 	// if the connection is being ended.
 	Send(appendTo func(b []byte) []byte) (sent uint64, waits int, ok bool)
-	// Handed is how many bytes were handed over to the network.
+	// Handed is how many bytes were handed over to the network, or may have been by now.
 	Handed() uint64
+	// Unsend takes back the message that was sent last, of n bytes, the last of which was the sent-th, if none of it was
+	// handed over.
+	Unsend(sent uint64, n int) bool
 	// End ends it: first what waits is handed over, if soft, then the last words, as far as the peer still listens.
 	End(soft bool, last []byte)
 }
--- a/internal/outside/real.go
+++ b/internal/outside/real.go
@@ -21,6 +21,10 @@
 	Connect func(ctx context.Context, address string) (net.Conn, error)
 	// Secure is the TLS that connections which are taken speak, none if it is nil.
 	Secure *tls.Config
+	// Prompt has what is sent leave with the call that sends it, as far as the network takes it at once, so that nothing
+	// leaves later than it was decided; a writer is there only for what is left. Without it writers gather what is sent in a
+	// moment, which costs less where many messages share a connection. Not for TLS.
+	Prompt bool
 
 	start  time.Time
 	base   float64
@@ -311,14 +315,17 @@
 	r     *Real
 	c     net.Conn
 	wake  chan struct{}
-	wrote chan struct{} // closed when the writer has ended
+	wrote chan struct{} // closed when all is written and the connection closed
 	stuck time.Duration
+	raw   syscall.RawConn // where it is prompt
 
 	mu     sync.Mutex
 	begun  bool
+	writes bool // a writer is there
 	queue  []byte
 	sent   uint64
-	handed uint64
+	handed uint64 // taken by the network
+	inHand int    // with the writer: the network may have taken it already
 	shut   bool
 	soft   bool
 	last   []byte
@@ -327,6 +334,9 @@
 
 func (r *Real) conn(c net.Conn) *conn {
 	n := &conn{r: r, c: c, wake: make(chan struct{}, 1), wrote: make(chan struct{})}
+	if s, ok := c.(syscall.Conn); ok && r.Prompt {
+		n.raw, _ = s.SyscallConn()
+	}
 	r.mu.Lock()
 	if r.closed {
 		n.shut = true
@@ -345,9 +355,10 @@
 
 func (c *conn) Begin(p Peer, stuck float64) {
 	c.mu.Lock()
-	c.begun, c.stuck = true, time.Duration(stuck*1e6)
+	c.begun, c.stuck, c.writes = true, time.Duration(stuck*1e6), c.raw == nil
+	writes := c.writes
 	c.mu.Unlock()
-	ok := c.r.goes(c.write) && c.r.goes(func() {
+	ok := (!writes || c.r.goes(c.write)) && c.r.goes(func() {
 		err := c.read(p)
 		c.stop(false, nil, err)
 		<-c.wrote
@@ -387,23 +398,28 @@
 	}
 }
 
+// write is the writer: it writes what is sent until the connection ends, or, where that is prompt, until nothing is left.
 func (c *conn) write() {
-	defer close(c.wrote)
-	defer c.c.Close()
 	var spare []byte
 	for {
 		c.mu.Lock()
 		b, shut, soft, last := c.queue, c.shut, c.soft, c.last
+		if len(b) == 0 && !shut && c.raw != nil {
+			c.writes = false
+			_ = c.c.SetWriteDeadline(time.Time{})
+			c.mu.Unlock()
+			return
+		}
 		c.queue, spare = spare[:0], nil // never the same memory twice: one is written while the other fills
+		if !shut || soft {
+			c.inHand = len(b)
+		}
 		c.mu.Unlock()
 		if shut {
 			if soft {
-				c.hand(b)
-			}
-			if len(last) > 0 {
-				_ = c.c.SetWriteDeadline(time.Now().Add(farewell))
-				_, _ = c.c.Write(last) // the peer may be gone: then nobody is left to be told
+				_ = c.hand(b)
 			}
+			c.close(last)
 			return
 		}
 		if len(b) == 0 {
@@ -426,6 +442,7 @@
 	n, err := c.c.Write(b)
 	c.mu.Lock()
 	c.handed += uint64(n)
+	c.inHand = 0
 	c.mu.Unlock()
 	if err != nil {
 		return fmt.Errorf("write: %w", err)
@@ -433,6 +450,35 @@
 	return nil
 }
 
+// push hands over what the network takes at once. c.mu is held and there is no writer.
+func (c *conn) push() {
+	for again := true; again; {
+		again = false
+		err := c.raw.Write(func(fd uintptr) bool {
+			n, err := syscall.Write(int(fd), c.queue)
+			again = err == syscall.EINTR
+			if n > 0 {
+				c.handed += uint64(n)
+				c.queue = c.queue[:copy(c.queue, c.queue[n:])]
+			}
+			return true // what is left, and what is wrong, is the writer's
+		})
+		if err != nil {
+			return
+		}
+	}
+}
+
+// close says the last words, as far as the peer listens, and closes the connection.
+func (c *conn) close(last []byte) {
+	if len(last) > 0 {
+		_ = c.c.SetWriteDeadline(time.Now().Add(farewell))
+		_, _ = c.c.Write(last) // the peer may be gone: then nobody is left to be told
+	}
+	c.c.Close()
+	close(c.wrote)
+}
+
 func (c *conn) Send(appendTo func(b []byte) []byte) (sent uint64, waits int, ok bool) {
 	c.mu.Lock()
 	if c.shut {
@@ -442,16 +488,34 @@
 	before := len(c.queue)
 	c.queue = appendTo(c.queue)
 	c.sent += uint64(len(c.queue) - before)
+	if c.raw != nil && c.begun && !c.writes {
+		if c.push(); len(c.queue) > 0 {
+			c.writes = c.r.goes(c.write)
+		}
+	}
 	sent, waits = c.sent, len(c.queue)
 	c.mu.Unlock()
-	c.rouse()
+	if c.raw == nil || waits > 0 {
+		c.rouse()
+	}
 	return sent, waits, true
 }
 
 func (c *conn) Handed() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.handed
+	return c.handed + uint64(c.inHand)
+}
+
+func (c *conn) Unsend(sent uint64, n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut || sent != c.sent || len(c.queue) < n {
+		return false
+	}
+	c.queue = c.queue[:len(c.queue)-n]
+	c.sent -= uint64(n)
+	return true
 }
 
 func (c *conn) End(soft bool, last []byte) { c.stop(soft, last, ErrEnded) }
@@ -467,13 +531,16 @@
 			_ = c.c.SetWriteDeadline(time.Now().Add(farewell))
 		}
 	}
-	begun := c.begun
+	begun, writes := c.begun, c.writes
 	c.mu.Unlock()
-	if first && !begun {
+	switch {
+	case first && !begun:
 		c.c.Close()
 		c.r.mu.Lock()
 		delete(c.r.conns, c)
 		c.r.mu.Unlock()
+	case first && !writes:
+		c.close(last)
 	}
 	c.rouse()
 }
--- a/internal/outside/real_test.go
+++ b/internal/outside/real_test.go
@@ -175,3 +175,107 @@
 		t.Errorf("%g ms since the start", d)
 	}
 }
+
+// TestPrompt holds that what is sent leaves with the call that sends it, that what the network does not take at once follows
+// in order, and that what has not left can be taken back.
+func TestPrompt(t *testing.T) {
+	r := NewReal()
+	r.Prompt = true
+	defer r.Close(time.Second)
+	came := make(chan net.Conn, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			came <- c
+		}
+	}()
+	made := make(chan Conn, 1)
+	r.Dial(l.Addr().String(), 1000, func(c Conn, err error) { made <- c })
+	c, there := <-made, <-came
+	defer there.Close()
+	e := newEar()
+	c.Begin(e, 5000)
+	line := func(n int) func([]byte) []byte {
+		return func(b []byte) []byte { return append(b, strings.Repeat("x", n)...) }
+	}
+	sent, waits, ok := c.Send(line(10))
+	if !ok || waits != 0 || c.Handed() != sent {
+		t.Fatalf("sent %d, %d wait, %d handed over, %v", sent, waits, c.Handed(), ok)
+	}
+	if c.Unsend(sent, 10) {
+		t.Error("took back what had left")
+	}
+	const big = 32 << 20 // more than the kernel takes
+	all, waits, _ := c.Send(line(big))
+	if waits == 0 {
+		t.Fatal("all was taken at once: nothing is shown")
+	}
+	after, _, _ := c.Send(line(7))
+	if c.Unsend(all, big) {
+		t.Error("took back what others follow")
+	}
+	if !c.Unsend(after, 7) || c.Unsend(after, 7) {
+		t.Error("the last that has not left is taken back, once")
+	}
+	got := make(chan int64, 1)
+	go func() {
+		n, _ := io.Copy(io.Discard, there)
+		got <- n
+	}()
+	for c.Handed() < all {
+		time.Sleep(time.Millisecond)
+	}
+	for i := range 100 { // its writer may have ended or not
+		c.Send(line(1))
+		if i%10 == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	c.End(true, []byte("bye"))
+	if err := <-e.over; err != ErrEnded {
+		t.Error(err)
+	}
+	if n := <-got; n != int64(all)+100+3 {
+		t.Errorf("%d bytes came, want %d", n, all+103)
+	}
+}
+
+// TestPromptEnds ends prompt connections from both sides and by their peers, many at once: each is over, once.
+func TestPromptEnds(t *testing.T) {
+	r := NewReal()
+	r.Prompt = true
+	overs := make(chan error, 400)
+	d, err := r.Listen("127.0.0.1:0", func(c Conn) {
+		c.Begin(&ear{make(chan string, 100), overs}, 1000)
+		c.Send(func(b []byte) []byte { return append(b, "hello"...) })
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 100 {
+		r.Dial(d.Address(), 1000, func(c Conn, err error) {
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			c.Begin(&ear{make(chan string, 100), overs}, 1000)
+			c.Send(func(b []byte) []byte { return append(b, "x"...) })
+			c.End(i%2 == 0, nil)
+		})
+	}
+	for range 200 {
+		select {
+		case <-overs:
+		case <-time.After(5 * time.Second):
+			t.Fatal("a connection is not over")
+		}
+	}
+	r.Close(time.Second)
+	if len(overs) != 0 {
+		t.Errorf("%d were over twice", len(overs))
+	}
+}
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -203,7 +203,7 @@
 		return
 	}
 	t.in = append([]byte(nil), t.in...)
-	s.loop.Wake()
+	s.wake()
 }
 
 func (t *tap) Over(error) {
--- a/internal/platform/host/host.go
+++ b/internal/platform/host/host.go
@@ -35,16 +35,21 @@
 type due uint8
 
 const (
-	dueWake   due = iota // a timer of the module, by its key
-	dueTry               // a try's time-out, by tryKey
-	dueUnsent            // an offer that was not sent comes back, by tryKey
-	dueCalled            // the outcome of a try that was called off, by tryKey
-	dueLapse             // an allocation's expiry, by its number
-	dueEnd               // the end of waiting for a node to confirm an end, by tryKey
-	dueProbe             // a probe's time-out, by node and number
-	dueSweep             // an answered allocation may be forgotten, by its number
+	dueWake      due = iota // a timer of the module, by its key
+	dueTry                  // a try's time-out, by tryKey
+	dueTryLate              // that waited for answers which may lie unread
+	dueUnsent               // an offer that was not sent comes back, by tryKey
+	dueCalled               // the outcome of a try that was called off, by tryKey
+	dueLapse                // an allocation's expiry, by its number
+	dueEnd                  // the end of waiting for a node to confirm an end, by tryKey
+	dueProbe                // a probe's time-out, by node and number
+	dueProbeLate            // that waited likewise
+	dueSweep                // an answered allocation may be forgotten, by its number
 )
 
+// waits are time-outs that wait once for answers which may lie unread, and what they are then.
+var waits = map[due]due{dueTry: dueTryLate, dueProbe: dueProbeLate}
+
 func tryKey(alloc uint32, try int) uint64 { return uint64(alloc)<<8 | uint64(uint8(try)) }
 
 type alloc struct {
@@ -94,6 +99,8 @@
 	stalls stall.Watch
 	open   int
 	stands int
+
+	patience float64
 }
 
 type probe struct {
@@ -115,6 +122,9 @@
 func (h *Host) Open() int   { return h.open }
 func (h *Host) Stands() int { return h.stands }
 
+// Patience is how long, in ms, a time-out waits from now on when it runs out, as answers may lie unread.
+func (h *Host) Patience(ms float64) { h.patience = ms }
+
 // Round rings what is due and lets the module decide. Rounds come no closer than the step; one that comes too early
 // does nothing.
 func (h *Host) Round(now float64) {
@@ -136,11 +146,18 @@
 		if !ok {
 			break
 		}
+		if late, ok := waits[b.What]; ok && h.patience > 0 {
+			h.bells.Set(h.now+h.patience, late, b.Key)
+			continue
+		}
 		h.ring(b.What, b.Key)
 	}
 	h.tell(func(m *logic.Scheduler) { m.Decide(h.now) })
 }
 
+// Soonest is when the next round may be.
+func (h *Host) Soonest() float64 { return h.last + h.step }
+
 // Next is when Round is to be called at the latest.
 func (h *Host) Next() float64 {
 	at, ok := h.bells.First()
@@ -166,7 +183,7 @@
 	switch what {
 	case dueWake:
 		h.tell(func(m *logic.Scheduler) { m.Woken(h.now, key) })
-	case dueProbe:
+	case dueProbe, dueProbeLate:
 		node := uint32(key >> 32)
 		if p, ok := h.probes[node]; ok && p.seq == uint32(key) {
 			delete(h.probes, node)
@@ -177,7 +194,7 @@
 			h.edge.Answer(uint32(key), false)
 			h.lapse(uint32(key), a)
 		}
-	case dueTry:
+	case dueTry, dueTryLate:
 		if a := h.allocs[id]; a != nil && a.out && !a.stands && !a.awaiting && a.tries == try+1 {
 			h.edge.GiveUp(id, uint8(try), a.node)
 			h.settle(id, a, logic.TimedOut, logic.NotTold, nil)
--- a/internal/platform/host/host_test.go
+++ b/internal/platform/host/host_test.go
@@ -394,3 +394,31 @@
 	s.pass(500)
 	s.want("after", "")
 }
+
+// TestPatience has time-outs wait for answers that may lie unread, once; an expiry waits for nothing.
+func TestPatience(t *testing.T) {
+	s := begin(t, 4)
+	id := s.ask(restartable)
+	s.pass(10)
+	s.look()
+	s.h.Patience(500)
+	s.pass(1700)
+	s.want("its time is up, and an answer may lie unread", "")
+	if !s.h.Started(s.now, id, 0) {
+		t.Error("the answer that lay unread did not count")
+	}
+	s = begin(t, 4)
+	s.ask(restartable)
+	s.pass(10)
+	s.look()
+	s.h.Patience(300)
+	s.pass(2100)
+	if got := s.look(); !strings.HasPrefix(got, "give up 1.0, offer 1.1") {
+		t.Errorf("no answer lay unread: %q", got)
+	}
+	s.h.Patience(1e6)
+	s.pass(3000)
+	if got := s.look(); strings.Count(got, "answer 1") != 1 {
+		t.Errorf("at its expiry: %q", got)
+	}
+}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -162,7 +162,7 @@
 	s := l.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	defer s.loop.Wake()
+	defer s.wake()
 	now := s.world.Now()
 	if err != nil {
 		s.trace("dial failed", 0, func(e *zerolog.Event) { e.Str("node", l.peer.name).Err(err) })
@@ -187,7 +187,12 @@
 	l.idle = now
 	l.peer.watch.Heard(now)
 	c.Begin(l, manners.Stuck)
-	for _, a := range l.asks {
+	for _, a := range slices.Clone(l.asks) {
+		if now >= a.until { // what waited for it longer than it was decided for is void
+			l.drop(a)
+			s.settled(a, logic.Unsent, logic.NotTold, nil)
+			continue
+		}
 		l.setUp(a)
 	}
 	if l.probe != 0 {
@@ -207,7 +212,10 @@
 func (l *link) setUp(a *ask) {
 	left := a.until - l.s.world.Now()
 	sent, _, ok := l.conn.Send(func(b []byte) []byte {
-		return codec.AppendSetUp(b, a.task, a.jobType, a.name, a.key, a.description, left)
+		before := len(b)
+		b = codec.AppendSetUp(b, a.task, a.jobType, a.name, a.key, a.description, left)
+		a.bytes = len(b) - before
+		return b
 	})
 	if ok {
 		a.sent = sent
@@ -233,6 +241,9 @@
 	if l.conn == nil {
 		return // not a byte of it left
 	}
+	if l.conn.Unsend(a.sent, a.bytes) {
+		return // nor here
+	}
 	if l.given == nil {
 		l.given = map[uint64]bool{}
 	}
@@ -334,7 +345,7 @@
 		return
 	}
 	l.in = rest
-	s.loop.Wake()
+	s.wake()
 }
 
 // Over hears that the connection has ended.
@@ -365,7 +376,7 @@
 	l.conn.End(false, nil)
 	l.settle(verdict, logic.Broken)
 	l.s.tether(l.s.world.Now(), l.peer)
-	l.s.loop.Wake()
+	l.s.wake()
 }
 
 // settle gives an outcome to all that was open on a connection that is no more.
@@ -497,7 +508,7 @@
 	o.stands[a] = true
 	l.peer.stands[a] = true
 	a.jobType, a.name, a.key, a.description = nil, nil, nil, nil
-	s.loop.Wake()
+	s.wake()
 	return nil
 }
 
@@ -562,5 +573,5 @@
 			p.owes(now, task)
 		}
 	}
-	s.loop.Wake()
+	s.wake()
 }
--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -28,6 +28,7 @@
 	useful bool // it sent something that is of use
 	proven bool // something that came on it was served
 	gone   bool
+	turned []byte // answers to asks that were turned away, until all that was read is looked at
 }
 
 // came takes an owner's connection. While descriptors are short, one that does nothing gives way, else the newcomer.
@@ -105,7 +106,7 @@
 		a.owner = nil
 	}
 	o.in = nil
-	o.s.loop.Wake()
+	o.s.wake()
 }
 
 // withdraw tells the host that an owner wants an ask no more.
@@ -115,8 +116,12 @@
 	if !a.answered {
 		s.answered(a)
 	}
+	if a.alloc == 0 { // the host has not heard of it
+		delete(s.tasks, a.task)
+		return
+	}
 	s.host.Withdrawn(s.world.Now(), a.alloc)
-	s.loop.Wake()
+	s.wake()
 }
 
 // Heard takes what owners send.
@@ -142,6 +147,11 @@
 		}
 		return nil
 	})
+	if len(o.turned) > 0 { // together: in a flood most of the work is to turn away
+		turned := o.turned
+		o.turned = nil
+		o.say(func(b []byte) []byte { return append(b, turned...) })
+	}
 	if err != nil {
 		o.expel(err.Error())
 	}
@@ -149,7 +159,7 @@
 		return
 	}
 	o.in = rest
-	o.s.loop.Wake()
+	o.s.wake()
 }
 
 // Over hears that the connection has ended.
@@ -192,7 +202,7 @@
 	turn := func(cause byte, why string) {
 		s.counts.turned++
 		s.trace("turned away", task, func(e *zerolog.Event) { e.Str("why", why) })
-		o.say(func(b []byte) []byte { return codec.AppendEnd(b, task, cause) })
+		o.turned = codec.AppendEnd(o.turned, task, cause)
 	}
 	if old := s.tasks[task]; old != nil && !old.answered && old.owner == o {
 		o.expel("a number that is open already") // one answer could not be told from the other
@@ -244,10 +254,16 @@
 		turn(codec.Busy, "too many on one connection")
 		return
 	}
-	if len(s.asks) >= s.parts.Held {
+	if len(s.asks)+len(s.inbox) >= s.parts.Held {
 		turn(codec.Busy, "too much is held")
 		return
 	}
+	left = s.lag.Left(now, left)
+	if !s.gate.Enter(now, s.lag.Behind(now), len(s.inbox)) {
+		s.counts.behind++
+		turn(codec.Busy, "behind")
+		return
+	}
 	if why := s.admit.Enter(tenant, left, manners.LeastLeft, true); why != admit.Taken {
 		turn(codec.Busy, why.String())
 		return
@@ -255,13 +271,13 @@
 	s.counts.taken++
 	kept := append(append(append(append([]byte{}, jobName...), name...), key...), description...)
 	j, n, k := len(jobName), len(jobName)+len(name), len(jobName)+len(name)+len(key)
-	a := &ask{task: task, tenant: tenant, owner: o, jobType: kept[:j], name: kept[j:n], description: kept[k:]}
+	a := &ask{task: task, tenant: tenant, owner: o, jobType: kept[:j], name: kept[j:n], description: kept[k:], expiry: now + left,
+		jobIs: jobType, service: service, cores: cores, memory: memory}
 	if key != nil {
 		a.key = kept[n:k]
 	}
 	o.open[task], s.tasks[task] = a, a
-	a.alloc = s.host.Allocate(now, jobType, tenant, now+left, service, cores, memory)
-	s.asks[a.alloc] = a
+	s.inbox = append(s.inbox, a)
 }
 
 // fits tells whether some machine could hold so much when it is empty.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -17,6 +17,7 @@
 	"ravenpond/internal/aside"
 	"ravenpond/internal/decide/admit"
 	"ravenpond/internal/decide/budget"
+	"ravenpond/internal/decide/lag"
 	"ravenpond/internal/decide/leave"
 	"ravenpond/internal/decide/manners"
 	"ravenpond/internal/facts"
@@ -41,6 +42,11 @@
 	mu          sync.Mutex
 	host        *host.Host
 	admit       *admit.Door
+	gate        admit.Gate
+	lag         lag.Watch
+	wanted      float64         // when the loop's next turn is due
+	inbox       []*ask          // taken, and not yet the host's
+	inboxAt     float64         // since when asks are taken out of it one after the other, 0: it was empty
 	asks        map[uint32]*ask // by the host's number
 	tasks       map[uint64]*ask // by the owner's
 	names       map[string]*peer
@@ -74,7 +80,12 @@
 	link             *link  // on which that offer is open
 	try              uint8
 	sent             uint64 // bytes sent on that connection, this offer included
+	bytes            int    // of the offer
 	until            float64
+	expiry           float64
+	jobIs            int
+	service          uint64
+	cores, memory    float64
 	jobType, name    []byte
 	key, description []byte
 	answered, stands bool
@@ -86,6 +97,8 @@
 	offers                                                                 int
 	verdicts                                                               [8]int
 	dials, looks, refused, spent, spoilt, expelled, probes                 int
+	behind                                                                 int     // turned away as they could not be done in time
+	lag                                                                    float64 // the most since it was told
 }
 
 // New makes a scheduler from its configuration. Nothing is connected yet.
@@ -103,6 +116,11 @@
 		shares = []float64{1}
 	}
 	s.admit = admit.New(min(s.parts.Open, c.Known.OpenMost), shares)
+	soonest := math.Inf(1)
+	for _, j := range c.Known.Cluster.JobTypes {
+		soonest = min(soonest, j.Target)
+	}
+	s.gate = admit.Within(soonest)
 	return s
 }
 
@@ -128,6 +146,7 @@
 		return fmt.Errorf("owners' door: %w", err)
 	}
 	s.door = door
+	s.wanted = s.world.Now()
 	s.loop = s.world.Loop(s.turn)
 	s.log.Info().Str("mode", "start").Str("owners", door.Address()).Int("nodes", len(s.peers)).
 		Int("owner_conns", s.parts.Owners).Int("node_conns", s.parts.Nodes).Int("open_most", s.parts.Open).Msg("open")
@@ -146,7 +165,7 @@
 		s.plan = leave.Told(s.told, slices.Max(s.known.Expiry))
 		s.log.Info().Str("mode", "stop").Int("open", s.host.Open()).Int("stands", s.host.Stands()).Msg("told to end")
 	}
-	s.loop.Wake()
+	s.wake()
 }
 
 // Times in milliseconds.
@@ -160,6 +179,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.world.Now()
+	due := s.wanted
+	s.wanted = math.Inf(1)
+	s.host.Patience(s.lag.Patience(now))
+	took := 0
+	if now >= s.host.Soonest() { // else no round comes of it
+		took = s.takeIn(now, lag.TakeIn(s.gate.Cost()))
+	}
 	s.host.Round(now)
 	if now >= s.ticked+tickEvery {
 		s.ticked = now
@@ -168,7 +194,63 @@
 	if s.stopped {
 		s.leave(now)
 	}
-	return max(0.2, min(s.host.Next(), s.ticked+tickEvery)-s.world.Now())
+	next := min(s.host.Next(), s.ticked+tickEvery)
+	if len(s.inbox) > 0 {
+		next = min(next, s.host.Soonest())
+	}
+	ended := s.world.Now()
+	s.worked(due, now, ended, took)
+	wait = max(0.2, next-ended)
+	s.wanted = min(s.wanted, ended+wait)
+	return wait
+}
+
+// wake has the loop take a turn.
+func (s *Server) wake() {
+	s.wanted = min(s.wanted, s.world.Now())
+	s.loop.Wake()
+}
+
+// takeIn hands asks of the inbox to the host. News of what is under way came first: it was taken when it was read.
+func (s *Server) takeIn(now float64, most int) (took int) {
+	n := 0
+	for ; n < len(s.inbox) && took < most; n++ {
+		a := s.inbox[n]
+		s.inbox[n] = nil
+		if a.answered {
+			continue
+		}
+		took++
+		a.alloc = s.host.Allocate(now, a.jobIs, a.tenant, a.expiry, a.service, a.cores, a.memory)
+		s.asks[a.alloc] = a
+	}
+	if s.inbox = s.inbox[n:]; len(s.inbox) == 0 {
+		s.inbox = nil // a burst's memory is given back
+	}
+	return took
+}
+
+// worked measures a turn: how far behind it shows the process to be, and what asks cost.
+func (s *Server) worked(due, began, ended float64, took int) {
+	tight := s.gate.Tight()
+	s.lag.Turn(due, began, ended)
+	behind := s.lag.Behind(ended)
+	s.counts.lag = max(s.counts.lag, behind)
+	if took > 0 {
+		since := began
+		if s.inboxAt > 0 {
+			since = s.inboxAt
+		}
+		s.gate.Worked(ended-since, took)
+	}
+	s.inboxAt = 0
+	if len(s.inbox) > 0 {
+		s.inboxAt = ended
+	}
+	if !tight && s.gate.Tight() {
+		s.log.Info().Str("mode", "behind").Float64("ms", math.Round(behind)).Int("inbox", len(s.inbox)).Int("open", s.host.Open()).
+			Float64("ask_ms", math.Round(s.gate.Cost()*100)/100).Msg("takes only what it can do in time")
+	}
 }
 
 // leave goes through what is due for a scheduler that was told to end.
@@ -179,6 +261,7 @@
 	}
 	if now >= s.plan.Answer && !s.answeredAll {
 		s.answeredAll = true
+		s.takeIn(now, len(s.inbox))
 		s.log.Info().Str("mode", "stop").Int("open", s.host.Open()).Int("stands", s.host.Stands()).Msg("answers what is open")
 		s.host.Close(now)
 		for _, o := range s.eachOwner() {
@@ -223,12 +306,14 @@
 	}
 	reports, cores, memory := s.host.Mistaken()
 	s.log.Info().Str("mode", "counts").Int("open", s.host.Open()).Int("stands", s.host.Stands()).Int("owners", len(s.owners)).
-		Int("links", s.links).Int("nodes", len(s.peers)).Int("taken", c.taken).Int("turned", c.turned).Int("served", c.served).
+		Int("links", s.links).Int("nodes", len(s.peers)).Int("taken", c.taken).Int("turned", c.turned).Int("behind", c.behind).
+		Float64("lag_ms", math.Round(c.lag)).Int("served", c.served).
 		Int("declined", c.declined).Int("failed", c.failed).Int("withdrawn", c.withdrawn).Int("over", c.over).Int("moved", c.moved).
 		Int("found", c.found).Int("offers", c.offers).Ints("verdicts", c.verdicts[:]).Int("dials", c.dials).Int("looks", c.looks).
 		Int("refused", c.refused).Int("spent", c.spent).Int("spoilt", c.spoilt).Int("expelled", c.expelled).Int("probes", c.probes).
 		Int("ill", ill).Int("strained", strained).Int("reports", reports).
 		Float64("off_cores", math.Round(cores*10)/10).Float64("off_memory", math.Round(memory*10)/10).Msg("")
+	c.lag = 0
 }
 
 // trace tells of one message or effect, where the log's level wants it.
@@ -400,7 +485,7 @@
 		}
 	})
 	s.host.Settled(s.world.Now(), a.alloc, a.try, v, why, report)
-	s.loop.Wake()
+	s.wake()
 }
 
 // messages gives out the messages that came, of which held is the beginning. It returns the part of one that is still to
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -25,6 +25,7 @@
 	}
 	log = log.With().Str("scheduler", c.Name).Logger()
 	world := outside.NewReal()
+	world.Prompt = true // what is decided leaves at once, however many wait for their turn
 	defer world.Close(time.Second)
 	s := New(world, log, c)
 	runtime.GOMAXPROCS(1) // the machine is one core; more threads at work only wait for each other
@@ -59,5 +60,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.move(c.Journal)
-	s.loop.Wake()
+	s.wake()
 }
