--- a/internal/lab/route/ends.go
+++ b/internal/lab/route/ends.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 
@@ -19,7 +20,7 @@
 	conn  outside.Conn
 	in    []byte
 	heard func(msg []byte)
-	gone  func()
+	gone  func(err error)
 	over  bool
 }
 
@@ -36,10 +37,10 @@
 	}
 }
 
-func (e *ear) Over(error) {
+func (e *ear) Over(err error) {
 	e.over = true
 	if e.gone != nil {
-		e.gone()
+		e.gone(err)
 	}
 }
 
@@ -74,6 +75,7 @@
 	job     int
 	service uint64
 	s       *sched
+	e       *ear  // on which it was asked
 	at      *node // where it stands, as far as the owner was told
 	until   float64
 	stands  bool
@@ -107,10 +109,18 @@
 	e.heard = o.heard
 	o.e = e
 	s := o.s
-	e.gone = func() {
-		for id, t := range o.asks { // given up with the connection
+	lives := s.lives
+	e.gone = func(err error) {
+		for _, id := range sorted(o.asks) { // given up with the connection
+			t := o.asks[id]
+			if t.e != e {
+				continue
+			}
 			o.g.record(audit.Record{Kind: audit.GaveUp, Sched: s.name, Ref: t.id})
 			delete(o.asks, id)
+			if err == io.EOF && s.s != nil && s.lives == lives {
+				o.g.fail(fmt.Sprintf("rule 1: %s ended a connection on which ask %d had no answer", s.name, id))
+			}
 		}
 		if o.e == e && s.s != nil && s.ends == 0 {
 			o.dial(nil)
@@ -173,8 +183,9 @@
 	g.count++
 	t := &task{id: g.count, key: g.count, job: g.rng.IntN(len(jobs)), service: uint64(1 + g.rng.IntN(4)), s: s, until: g.c.True() + expiry}
 	g.tasks[t.id] = t
-	o.asks[t.id] = t
+	o.asks[t.id], t.e = t, o.e
 	g.v.Asks++
+	g.v.Jobs[t.job].Asks++
 	g.record(audit.Record{Kind: audit.Asked, Sched: s.name, Ref: t.id, Token: t.key, Job: t.job, Until: t.until + 50})
 	o.e.send(message(codec.SetUp, t.id, codec.JobType, jobNames[t.job], codec.Left, expiry, codec.Tenant, "acme", codec.Name,
 		fmt.Sprintf("%016x", t.id), codec.Key, fmt.Sprintf("%032x", t.key), codec.Figures,
@@ -220,6 +231,7 @@
 			g.fail(fmt.Sprintf("task %x: description %q is no node's", id, d))
 		}
 		g.v.Served++
+		g.v.Jobs[t.job].Served++
 		answer("served")
 	case codec.End:
 		switch {
@@ -304,7 +316,7 @@
 func (n *node) came(c outside.Conn) {
 	e := &ear{conn: c}
 	e.heard = func(msg []byte) { n.heard(e, msg) }
-	e.gone = func() {
+	e.gone = func(error) {
 		n.conns = slices.DeleteFunc(n.conns, func(x *ear) bool { return x == e })
 		for id, r := range n.runs { // what is open on it is given up
 			if r.e != e || r.told {
--- a/internal/lab/route/faults.go
+++ b/internal/lab/route/faults.go
@@ -31,7 +31,7 @@
 		case 3:
 			at(func() { s.hangUp(); s.term(); g.c.At(g.c.True()+most/3, s.hangUp) })
 		case 4:
-			at(func() { s.journal.silent = g.c.True() + most })
+			at(func() { s.journal.hush(most) })
 		case 5:
 			at(func() { g.drain(n) })
 		case 6:
--- a/internal/lab/route/route.go
+++ b/internal/lab/route/route.go
@@ -34,8 +34,10 @@
 	window  = 1500
 	bears   = 6
 	expiry  = 2500
+	toldIn  = 4000
 	retell  = 250 // after a start an owner tells what stands
-	shut    = 700 // after a scheduler was told to end owners ask it no more
+	shut    = 600 // after a scheduler was told to end owners ask it no more, on a connection that is open
+	comeFor = 400 // and so long they make new ones
 )
 
 const facing = `{"instances": %d, "self-index": %d, "discovery": "told", "step-ns": 2000000, "kinds": ["std"], "zones": ["east", "west"],
@@ -70,6 +72,7 @@
 	Broken                      string // empty, if nothing is
 	Flood                       bool   // a scheduler was given more than it could do
 	Asks, Served, Starts, Found int
+	Jobs                        [3]struct{ Asks, Served int } // by job type
 }
 
 // play is a seed being played.
@@ -217,7 +220,7 @@
 	s.ends = 0
 	s.journal = newJournal(g, fmt.Sprintf("journal-%s-%d:1", s.name, s.lives))
 	if s.lives > 1 && g.rng.IntN(4) == 0 { // it says nothing yet
-		s.journal.silent = g.c.True() + 2000*g.rng.Float64()
+		s.journal.hush(2000 * g.rng.Float64())
 	}
 	c := s.charter()
 	world := outside.World(s.p)
@@ -240,7 +243,12 @@
 	outside.Every(s.p, 20, func() bool {
 		select {
 		case <-done:
-			s.p.After(1, func() { s.kill(200) })
+			s.p.After(1, func() {
+				if left := sorted(s.owner.asks); len(left) > 0 && s.lives == life {
+					g.fail(fmt.Sprintf("rule 1: %s ended, and ask %d had no answer", s.name, left[0]))
+				}
+				s.kill(200)
+			})
 			return false
 		default:
 			return life == s.lives
@@ -278,11 +286,21 @@
 	})
 }
 
-// term tells it to end, as a planned restart does.
+// term tells it to end, as a planned restart does. Owners go on asking on the connection that they have, and make new
+// ones for a while.
 func (s *sched) term() {
-	if s.s != nil && s.ends == 0 {
-		s.ends = s.g.c.True()
-		s.s.Stop()
+	if s.s == nil || s.ends > 0 {
+		return
+	}
+	s.ends = s.g.c.True()
+	s.s.Stop()
+	lives := s.lives
+	for range 2 {
+		s.g.c.At(s.ends+comeFor*s.g.rng.Float64(), func() {
+			if s.s != nil && s.lives == lives {
+				s.owner.dial(nil)
+			}
+		})
 	}
 }
 
@@ -305,6 +323,7 @@
 	events  []string
 	conns   []*tail
 	silent  float64 // until then it says nothing
+	since   float64 // when that began
 	gone    bool
 }
 
@@ -350,6 +369,12 @@
 	return to
 }
 
+// hush has it say nothing for a while.
+func (j *journal) hush(ms float64) {
+	j.since = j.g.c.True()
+	j.silent = max(j.silent, j.since+ms)
+}
+
 func (j *journal) close() { j.gone = true; j.p.Kill(false) }
 
 func (j *journal) known() []byte {
@@ -410,8 +435,8 @@
 			continue
 		}
 		at := g.c.True()
-		if at < s.journal.silent {
-			at += 4000
+		if at < s.journal.silent { // what it would have told counts so long after its silence began
+			at = max(at, s.journal.since+toldIn)
 		}
 		lives, status, count := s.lives, n.status, n.changes
 		g.c.At(at, func() {
--- a/internal/lab/route/route_test.go
+++ b/internal/lab/route/route_test.go
@@ -32,6 +32,20 @@
 		}
 		asks[i], served[i], floods[i], found = asks[i]+v.Asks, served[i]+v.Served, floods[i]+1, found+v.Found
 	}
+	for job, name := range jobNames { // each job type has its floor: none is served at the cost of another
+		var of [2]struct{ asks, served int }
+		for _, v := range all {
+			i := 0
+			if v.Flood {
+				i = 1
+			}
+			of[i].asks += v.Jobs[job].Asks
+			of[i].served += v.Jobs[job].Served
+		}
+		if of[0].served < of[0].asks*17/20 || of[1].served < of[1].asks/4 {
+			t.Errorf("%s, calm and flooded: %+v", name, of)
+		}
+	}
 	if served[0] < asks[0]*9/10 || served[1] < asks[1]/3 || found < 100 || floods[1] < 10 {
 		t.Errorf("calm and flooded: %v asks, %v served in %v seeds, %d found again: the seeds show too little", asks, served, floods, found)
 	}
@@ -60,6 +74,9 @@
 		{"what is sent in a flood leaves when its writer has its turn, after others", Plant{Busy: true, World: func(w outside.World) outside.World {
 			return slow{w}
 		}}, "rule"},
+		{"owners' connections are ended while asks are open on them", Plant{World: func(w outside.World) outside.World {
+			return curt{w}
+		}}, "rule 1"},
 		{"words to owners are lost", Plant{World: func(w outside.World) outside.World { return lossy{w} }}, "rule 1"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -120,6 +137,25 @@
 
 func (b *behind) Unsend(uint64, int) bool { return false }
 
+// curt ends a connection to owners after some messages, whatever is open on it.
+type curt struct{ outside.World }
+
+func (c curt) Listen(address string, came func(outside.Conn)) (outside.Door, error) {
+	return c.World.Listen(address, func(x outside.Conn) { came(&short{Conn: x}) })
+}
+
+type short struct {
+	outside.Conn
+	n int
+}
+
+func (s *short) Send(f func([]byte) []byte) (uint64, int, bool) {
+	if s.n++; s.n%30 == 0 {
+		s.Conn.End(true, nil)
+	}
+	return s.Conn.Send(f)
+}
+
 // lossy hands over every hundredth message to owners to nobody.
 type lossy struct{ outside.World }
 
