--- a/cmd/ravenpond/main.go
+++ b/cmd/ravenpond/main.go
@@ -93,6 +93,7 @@
 	KeyName     string `default:"server" help:"Name of the server's certificate there."`
 	Profile     string `type:"path" help:"Write a CPU profile of the whole run to this file."`
 	Level       string `enum:"debug,info,warn" default:"info" help:"debug adds a line for each try."`
+	Zone        string `help:"The zone in which the scheduler runs, one of the site file's."`
 }
 
 func logger(form, level string, out io.Writer) (zerolog.Logger, error) {
@@ -158,7 +159,7 @@
 	var failed error
 	resize := make(chan int)
 	go c.reread(ctx, &first, log, resize)
-	who := serve.Scheduler{Resize: resize, Secure: secure, Place: place, Name: c.Name, Index: c.Index, Folder: c.State, Seed: seed,
+	who := serve.Scheduler{Resize: resize, Secure: secure, Place: place, Name: c.Name, Index: c.Index, Folder: c.State, Seed: seed, Zone: c.Zone,
 		Log: log.With().Str("scheduler", c.Name).Logger(), Ready: func(owners string) {
 			if c.AddressFile != "" {
 				failed = renameio.WriteFile(c.AddressFile, []byte(owners+"\n"), 0o640)
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,177 @@
+// Package control keeps what a site's schedulers agree on, on one goroutine of its own: the council, the book, their timers,
+// and the messages that members carry. Traffic reads an immutable view by an atomic pointer and waits for nothing here.
+package control
+
+import (
+	"fmt"
+	"math"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+
+	"ravenpond/internal/decide/book"
+	"ravenpond/internal/decide/council"
+	"ravenpond/internal/decide/members"
+	runner "ravenpond/internal/members"
+	"ravenpond/internal/outside"
+)
+
+// Disk keeps what a steward must not forget.
+type Disk interface {
+	Load() (council.Saved, error)
+	// Save returns when all is on the disk.
+	Save(hard []byte, from uint64, entries [][]byte, snapshot []byte, held uint64) error
+	Close() error
+}
+
+// View is the book at one moment. It is never changed.
+type View struct {
+	Book *book.Book
+	// Sure is until when this process may act by it as it stands, ms of the world's clock; from then on by its careful reading.
+	Sure float64
+}
+
+// mostMail is how many messages wait at most; more are lost, as others are on their way.
+const mostMail = 1024
+
+// nap is the longest the loop sleeps, ms.
+const nap = 1000
+
+type mail struct {
+	from    string
+	body    []byte
+	version uint64 // that it holds, where it says no more
+}
+
+// Runner is control that runs.
+type Runner struct {
+	w    outside.World
+	log  zerolog.Logger
+	all  *runner.Runner
+	disk Disk // nil: no steward
+	loop outside.Loop
+	view atomic.Pointer[View]
+	over atomic.Bool
+
+	mu   sync.Mutex
+	mail []mail
+	asks []func(*council.Council) // by other goroutines
+
+	c     *council.Council // the loop's own
+	holds uint64
+}
+
+// Begin runs a process's part in the council of its site on the members' datagrams. A steward's disk is its own from then on.
+func Begin(w outside.World, log zerolog.Logger, all *runner.Runner, who council.Charter, disk Disk) (*Runner, error) {
+	r := &Runner{w: w, log: log, all: all, disk: disk}
+	var saved council.Saved
+	if disk != nil {
+		var err error
+		if saved, err = disk.Load(); err != nil {
+			return nil, fmt.Errorf("council's folder: %w", err)
+		}
+	}
+	c, err := council.New(edge{r}, w.Now(), who, saved)
+	if err != nil {
+		return nil, err
+	}
+	r.c = c
+	r.view.Store(&View{Book: c.Book(), Sure: math.Inf(-1)})
+	r.loop = w.Loop(r.turn)
+	all.See(func(d *members.Detector) { d.Carries(carrier{r}) })
+	return r, nil
+}
+
+// View is the book as this process holds it now.
+func (r *Runner) View() *View { return r.view.Load() }
+
+// Ask has f called with the council on the loop's goroutine.
+func (r *Runner) Ask(f func(c *council.Council)) {
+	r.mu.Lock()
+	r.asks = append(r.asks, f)
+	r.mu.Unlock()
+	r.loop.Wake()
+}
+
+// End ends it, and waits for what it is writing.
+func (r *Runner) End() {
+	if r.over.Swap(true) {
+		return
+	}
+	r.all.See(func(d *members.Detector) { d.Carries(nil) })
+	r.loop.Wake()
+}
+
+func (r *Runner) turn() (wait float64) {
+	if r.over.Load() {
+		if r.disk != nil {
+			if err := r.disk.Close(); err != nil {
+				r.log.Error().Str("mode", "council").Err(err).Msg("disk")
+			}
+			r.disk = nil
+		}
+		return -1
+	}
+	r.mu.Lock()
+	mails, asks := r.mail, r.asks
+	r.mail, r.asks = nil, nil
+	r.mu.Unlock()
+	for _, m := range mails {
+		if m.body != nil {
+			r.c.Heard(r.w.Now(), m.from, m.body)
+		} else {
+			r.c.Ahead(r.w.Now(), m.from, m.version)
+		}
+	}
+	for _, f := range asks {
+		f(r.c)
+	}
+	r.c.Tick(r.w.Now())
+	r.publish()
+	return min(nap, max(0.1, r.c.Next()-r.w.Now()))
+}
+
+// publish lets traffic see what has changed, and others which version is held.
+func (r *Runner) publish() {
+	was := r.view.Load()
+	if was.Book == r.c.Book() && was.Sure == r.c.Sure() {
+		return
+	}
+	r.view.Store(&View{Book: r.c.Book(), Sure: r.c.Sure()})
+	if v := r.c.Book().Version(); v != r.holds {
+		r.holds = v
+		r.all.See(func(d *members.Detector) { d.Holds(v) })
+	}
+}
+
+// edge carries out what the council decides.
+type edge struct{ *Runner }
+
+func (e edge) Carry(to string, body []byte) {
+	e.all.See(func(d *members.Detector) { d.Carry(e.w.Now(), to, body) })
+}
+
+func (e edge) Save(hard []byte, from uint64, entries [][]byte, snapshot []byte, held uint64) error {
+	return e.disk.Save(hard, from, entries, snapshot, held)
+}
+
+func (e edge) Mode(line string) { e.log.Info().Str("mode", "council").Msg(line) }
+
+// carrier takes what members bring, under their lock: it only puts it down.
+type carrier struct{ *Runner }
+
+func (c carrier) Carried(from string, body []byte) {
+	c.put(mail{from: from, body: append([]byte{}, body...)})
+}
+
+func (c carrier) Ahead(from string, version uint64) { c.put(mail{from: from, version: version}) }
+
+func (r *Runner) put(m mail) {
+	r.mu.Lock()
+	if len(r.mail) < mostMail {
+		r.mail = append(r.mail, m)
+	}
+	r.mu.Unlock()
+	r.loop.Wake()
+}
--- /dev/null
+++ b/internal/decide/council/council_test.go
@@ -0,0 +1,266 @@
+package council
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"ravenpond/internal/decide/book"
+	codec "ravenpond/internal/proto/book"
+)
+
+// table is councils that speak by a list of messages, and their disks.
+type table struct {
+	t    *testing.T
+	now  float64
+	all  map[string]*seat
+	mute map[string]bool // whose messages are lost, both ways
+	way  []letter
+}
+
+type letter struct {
+	from, to string
+	body     []byte
+}
+
+// seat is one at the table.
+type seat struct {
+	x     *table
+	name  string
+	c     *Council
+	saved Saved
+	from  uint64
+	fails bool
+	lines []string
+}
+
+func (s *seat) Carry(to string, body []byte) {
+	s.x.way = append(s.x.way, letter{s.name, to, slices.Clone(body)})
+}
+
+func (s *seat) Save(hard []byte, from uint64, entries [][]byte, snapshot []byte, _ uint64) error {
+	if s.fails {
+		return errors.New("no space")
+	}
+	if hard != nil {
+		s.saved.Hard = hard
+	}
+	if snapshot != nil {
+		s.saved.Snapshot = snapshot
+	}
+	if from > 0 {
+		if s.from == 0 {
+			s.from = from
+		}
+		s.saved.Entries = append(s.saved.Entries[:from-s.from], entries...)
+	}
+	return nil
+}
+
+func (s *seat) Mode(line string) { s.lines = append(s.lines, line) }
+
+func sit(t *testing.T, names ...string) *table {
+	x := &table{t: t, now: 1e6, all: map[string]*seat{}, mute: map[string]bool{}}
+	for i, n := range names {
+		x.all[n] = &seat{x: x, name: n}
+		x.begin(n, 1, uint64(i), Plant{})
+	}
+	return x
+}
+
+func (x *table) begin(name string, life, seed uint64, p Plant) {
+	x.t.Helper()
+	c, err := New(x.all[name], x.now, Charter{Name: name, Zone: "z" + name, Life: life, Stewards: []string{"a", "b", "c"}, Seed: seed, Plant: p}, x.all[name].saved)
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	x.all[name].c = c
+}
+
+// pass lets time go by, and messages come after a millisecond.
+func (x *table) pass(ms float64) {
+	for end := x.now + ms; x.now < end; x.now++ {
+		way := x.way
+		x.way = nil
+		for _, l := range way {
+			if s := x.all[l.to]; s != nil && !x.mute[l.from] && !x.mute[l.to] {
+				s.c.Heard(x.now, l.from, l.body)
+			}
+		}
+		for _, name := range []string{"a", "b", "c", "d"} {
+			if s := x.all[name]; s != nil && !x.mute["stopped "+name] && x.now >= s.c.Next() {
+				s.c.Tick(x.now)
+			}
+		}
+	}
+}
+
+func (x *table) leader() string {
+	for name, s := range x.all {
+		if s.c.Leads() && !x.mute[name] {
+			return name
+		}
+	}
+	return ""
+}
+
+// TestAgree has three stewards and one who follows agree, lose their leader, and be sure or not as they are cut off.
+func TestAgree(t *testing.T) {
+	x := sit(t, "a", "b", "c", "d")
+	x.pass(6000)
+	first := x.leader()
+	if first == "" {
+		t.Fatal("no leader")
+	}
+	for name, s := range x.all {
+		if p, ok := s.c.Book().Process("d"); !ok || p.Zone != "zd" || s.c.Sure() < x.now {
+			t.Errorf("%s: %+v, sure for %g", name, p, s.c.Sure()-x.now)
+		}
+	}
+	x.mute[first] = true
+	x.pass(1.1 * Lease)
+	if s := x.all[first]; s.c.Sure() > x.now || s.c.Leads() {
+		t.Errorf("cut off, %s is sure for %g, leads %v", first, s.c.Sure()-x.now, s.c.Leads())
+	}
+	x.pass(4000)
+	if second := x.leader(); second == "" || second == first {
+		t.Fatalf("%q leads after %q", second, first)
+	}
+	if s := x.all["d"].c; s.Sure() < x.now {
+		t.Error("two of three stewards do not make sure")
+	}
+	x.mute[first] = false
+	x.pass(3000)
+	if s := x.all[first]; s.c.Sure() < x.now || s.c.Book().Version() != x.all["d"].c.Book().Version() {
+		t.Errorf("back, %s is not", first)
+	}
+}
+
+// TestAnswers has own commands answered once each, with what came of them, though each is said again and again.
+func TestAnswers(t *testing.T) {
+	x := sit(t, "a", "b", "c", "d")
+	x.pass(5000)
+	var got []string
+	c := x.all["d"].c
+	c.Answered(func(number uint64, r book.Refusal) { got = append(got, fmt.Sprint(number, " ", r)) })
+	verdict := func(zone string, to book.State) {
+		c.Propose(func(b []byte, number uint64) []byte {
+			return codec.AppendCommand(b, "d", 1, number, x.now, codec.Verdict, zone, "", "", c.Book().Zone(zone).Version, uint32(to), "")
+		})
+	}
+	verdict("za", book.Suspect)
+	verdict("zb", book.Closed)
+	x.mute["d"] = true
+	x.pass(2000)
+	x.mute["d"] = false
+	x.pass(3000)
+	if want := []string{"2 taken", "3 no-way"}; !slices.Equal(got, want) {
+		t.Errorf("%q, want %q", got, want)
+	}
+	for range 2 * mostQueue {
+		verdict("za", book.Open)
+	}
+	if len(c.queue) != mostQueue {
+		t.Errorf("%d wait", len(c.queue))
+	}
+}
+
+// TestDisk has a steward that can't write take no part, and one that lost its disk never vote, while both follow.
+func TestDisk(t *testing.T) {
+	x := sit(t, "a", "b", "c")
+	x.pass(5000)
+	l := x.leader()
+	x.all[l].fails = true
+	x.all[l].c.Propose(func(b []byte, number uint64) []byte {
+		return codec.AppendCommand(b, l, 1, number, x.now, codec.Verdict, "za", "", "", 0, uint32(book.Suspect), "")
+	})
+	x.pass(8000)
+	if s := x.all[l]; s.c.Halted() == "" || s.c.Leads() {
+		t.Fatalf("its disk is full, and %s goes on", l)
+	}
+	if s := x.all[l].c; s.Book().Zone("za").State != book.Suspect || s.Sure() < x.now {
+		t.Errorf("it does not follow: version %d, sure for %g", s.Book().Version(), s.Sure()-x.now)
+	}
+	other := map[string]string{"a": "b", "b": "c", "c": "a"}[l]
+	x.all[l].fails = false
+	x.begin(l, 2, 9, Plant{})
+	x.pass(3000)
+	*x.all[other] = seat{x: x, name: other}
+	x.begin(other, 2, 8, Plant{})
+	x.pass(6000)
+	if s := x.all[other]; !strings.Contains(s.c.Halted(), "disk was empty") || s.c.Sure() < x.now {
+		t.Errorf("lost its disk: halted %q, sure for %g", s.c.Halted(), s.c.Sure()-x.now)
+	}
+	if x.all[l].c.Halted() != "" {
+		t.Error("still halted in its next life")
+	}
+}
+
+// TestPages has one who follows take pages of one book only, and none that is older than its own.
+func TestPages(t *testing.T) {
+	pages := func(b *book.Book) (all [][]byte) {
+		text := b.Snapshot()
+		for i := 0; i < len(text); i += 40 {
+			all = append(all, codec.AppendMessage(nil, codec.Page, text[i:min(i+40, len(text))], 0, b.Version(), 0, uint64(i), uint64(len(text))))
+		}
+		return all
+	}
+	older, newer := book.New(), book.New()
+	for v := uint64(1); v < 9; v++ {
+		c := codec.AppendCommand(nil, fmt.Sprint("p", v), 1, 1, 1, codec.Act, fmt.Sprint("p", v), "z", "", 0, 0, "")
+		if v < 5 {
+			_, _ = older.Apply(v, c)
+		}
+		_, _ = newer.Apply(v, c)
+	}
+	for _, plant := range []bool{false, true} {
+		x := sit(t)
+		x.all["d"] = &seat{x: x, name: "d"}
+		x.begin("d", 1, 1, Plant{OldPage: plant})
+		c := x.all["d"].c
+		c.Ahead(x.now, "a", 8)
+		for _, p := range append(pages(older)[:1], pages(newer)...) { // its source had a later one meanwhile
+			c.Heard(x.now, "b", pages(older)[0]) // not asked
+			c.Heard(x.now, "a", p)
+		}
+		if c.Book().Version() != 8 {
+			t.Fatalf("version %d of pages of 8", c.Book().Version())
+		}
+		c.Ahead(x.now, "b", 99) // who says so holds less
+		for _, p := range pages(older) {
+			c.Heard(x.now, "b", p)
+		}
+		if back := c.Book().Version() == 4; back != plant {
+			t.Errorf("an older book, planted %v: version %d", plant, c.Book().Version())
+		}
+	}
+}
+
+// TestLost has a process that lost its folder act in a life above the one that the book knows.
+func TestLost(t *testing.T) {
+	x := sit(t, "a", "b", "c", "d")
+	x.begin("d", 7, 3, Plant{})
+	x.pass(6000)
+	x.begin("d", 1, 4, Plant{})
+	x.pass(6000)
+	if p, _ := x.all["a"].c.Book().Process("d"); p.Life != 8 || x.all["d"].c.Life() != 8 {
+		t.Errorf("%+v, it thinks it is in life %d", p, x.all["d"].c.Life())
+	}
+}
+
+// TestFolder refuses a folder of other stewards, and one that does not fit together.
+func TestFolder(t *testing.T) {
+	x := sit(t, "a", "b", "c")
+	x.pass(5000)
+	saved := x.all["a"].saved
+	for what, s := range map[string]Saved{
+		"an entry that can't be read": {Hard: saved.Hard, Entries: [][]byte{{0xff}}},
+		"a state without its entries": {Hard: saved.Hard},
+	} {
+		if _, err := New(x.all["a"], x.now, Charter{Name: "a", Life: 2, Stewards: []string{"a", "b", "c"}}, s); err == nil {
+			t.Error(what)
+		}
+	}
+}
--- a/internal/decide/members/hear.go
+++ b/internal/decide/members/hear.go
@@ -115,6 +115,24 @@
 	}
 }
 
+// Book takes which version of the book another holds.
+func (d taker) Book(version uint64) {
+	if version > d.book && d.carrier != nil {
+		d.carrier.Ahead(d.head.m.Name, version)
+	}
+}
+
+// Part takes a part of a message for others of the program.
+func (d taker) Part(index, of int, body []byte) {
+	h := &d.head
+	if h.kind != codec.Carry || d.carrier == nil {
+		return
+	}
+	if all, ok := d.whole.Take(h.m.Name, h.m.Life, h.number, index, of, body); ok {
+		d.carrier.Carried(h.m.Name, all)
+	}
+}
+
 // leased takes leave that came with an answer to a probe sent at a time.
 func (d *Detector) leased(sent float64) {
 	if h := &d.head; d.share != nil && h.place > 0 {
--- a/internal/decide/members/members.go
+++ b/internal/decide/members/members.go
@@ -19,6 +19,7 @@
 	"slices"
 
 	"ravenpond/internal/bells"
+	"ravenpond/internal/decide/carry"
 	"ravenpond/internal/decide/news"
 	"ravenpond/internal/decide/parts"
 	"ravenpond/internal/decide/witness"
@@ -93,6 +94,14 @@
 	Hears(node uint32) (life uint64, heard float64, ok bool)
 }
 
+// Carrier takes messages that others of the program send by this one's datagrams.
+type Carrier interface {
+	// Carried is a whole message, which holds for the call alone.
+	Carried(from string, body []byte)
+	// Ahead is that another holds a later version of the book than this process said it does.
+	Ahead(from string, version uint64)
+}
+
 // Charter says who this process is, and whom it asks first.
 type Charter struct {
 	Site, Name, Address string
@@ -213,6 +222,10 @@
 	}
 	page map[string]bool // names told by the page that is being read, of which nothing newer is held
 
+	carrier Carrier // nil: nothing is carried
+	book    uint64  // the version of the book that this process holds
+	whole   carry.Whole
+
 	words news.Board
 	nodes witness.Board
 	share *parts.Holder // nil: nothing is shared
@@ -330,6 +343,30 @@
 // Held are the nodes that others say are not ready by a later version of the list than this process's, sorted.
 func (d *Detector) Held(now float64) []uint32 { return d.words.Held(now) }
 
+// Carries has messages that others send taken by c.
+func (d *Detector) Carries(c Carrier) { d.carrier = c }
+
+// Holds says which version of the book this process holds; the others hear of it with each probe.
+func (d *Detector) Holds(version uint64) { d.book = version }
+
+// Carry sends a message to another in as many datagrams as it needs, any of which may be lost. It tells whether one by that name
+// is known who may hear it.
+func (d *Detector) Carry(now float64, to string, body []byte) bool {
+	d.now = max(d.now, now)
+	m := d.all[to]
+	if m == nil || m.State >= Dead || d.taken {
+		return false
+	}
+	d.count++
+	parts := carry.Cut(body, codec.MostPart)
+	for i, p := range parts {
+		m.counts++
+		b := codec.Begin(nil, d.who.Site, d.who.Name, d.who.Address, d.who.Life, m.counts, m.Life, codec.Carry, d.count, "", 0, "", "")
+		d.out(m.Address, codec.Part(b, i, len(parts), p))
+	}
+	return len(parts) > 0
+}
+
 // Leaves is how many others give this process leave to take part, and how many it needs.
 func (d *Detector) Leaves(now float64) (has, needs int) {
 	if d.share == nil {
@@ -726,6 +763,7 @@
 
 func (d *Detector) sendNews(address string, life, count uint64, kind uint32, number uint64, target string, first *member) {
 	b := codec.Begin(nil, d.who.Site, d.who.Name, d.who.Address, d.who.Life, count, life, kind, number, target, d.view, "", "")
+	b = codec.Book(b, d.book)
 	switch {
 	case d.share == nil || d.leaving || d.taken:
 	case kind == codec.Ping:
--- /dev/null
+++ b/internal/lab/council/council_test.go
@@ -0,0 +1,50 @@
+package council
+
+import (
+	"context"
+	"runtime"
+	"testing"
+
+	"ravenpond/internal/decide/council"
+)
+
+// TestSeeds plays schedulers that agree on a book among kills, stops, cuts, loss and full disks.
+func TestSeeds(t *testing.T) {
+	versions, answered := uint64(0), 0
+	for _, v := range Seeds(context.Background(), 1, 61, runtime.NumCPU(), council.Plant{}) {
+		if v.Broken != "" {
+			t.Errorf("seed %d: %.1200s", v.Seed, v.Broken)
+		}
+		versions, answered = versions+v.Versions, answered+v.Answered
+	}
+	if versions < 1000 || answered < 500 {
+		t.Errorf("%d versions, %d answers: the seeds show too little", versions, answered)
+	}
+	if one, two := Play(7, council.Plant{}), Play(7, council.Plant{}); one != two {
+		t.Errorf("played twice: %+v and %+v", one, two)
+	}
+}
+
+// TestPlanted plants faults in the council and looks that the seeds find each.
+func TestPlanted(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		plant council.Plant
+		from  uint64 // seeds from here on
+	}{
+		{"answered before it is written", council.Plant{Unwritten: true}, 1},
+		{"one steward's word makes sure", council.Plant{OneWord: true}, 1},
+		{"a lease that nothing ends", council.Plant{Endless: true}, 1},
+		{"a steward that lost its disk votes", council.Plant{Forgetful: true}, 14},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := c.from; seed < c.from+40; seed++ {
+				if v := Play(seed, c.plant); v.Broken != "" {
+					t.Logf("found by seed %d: %.120s", v.Seed, v.Broken)
+					return
+				}
+			}
+			t.Error("not found in 40 seeds")
+		})
+	}
+}
--- a/internal/lab/procs/procs.go
+++ b/internal/lab/procs/procs.go
@@ -32,7 +32,7 @@
 const siteText = `<site name="rig">
   <cluster schedulers="%d" list="told" tries="4" cores-limit="2" memory-limit="1.5" mean-cores="1" mean-memory="2"/>
   <rules drain-grace="600ms" cold-bears="%d" cold-for="3s" cold-window="1s" answer-margin="200ms" settle="600ms"/>
-  <zone name="east"/><zone name="west"/>
+  <zone name="east" region="one"/><zone name="west" region="one"/>
   <machine kind="plain" cores="64" memory="128"/>
   <job-type name="free" effect="restartable" target="800ms" expiry="3s" value="1"/>
   <job-type name="keyed" effect="tokened" group="zone" window="1500ms" target="1s" expiry="3s" value="2" spread="node" most="3"/>
@@ -53,6 +53,7 @@
 	Seed       uint64
 	Dir        string
 	Apart      bool // schedulers do not know each other
+	Stewards   int  // of the book that they agree on, the first of all; 0: there is none
 	Relays     bool // connections to nodes, list and owners pass relays too
 }
 
@@ -364,6 +365,44 @@
 	r.lanes[[2]int{from, to}] = l
 }
 
+// stewards names them, as the site file does.
+func (r *Rig) stewards() string {
+	if r.Stewards == 0 {
+		return ""
+	}
+	var names []string
+	for _, x := range r.all[:r.Stewards] {
+		names = append(names, x.name)
+	}
+	return fmt.Sprintf(` stewards="%s"`, strings.Join(names, " "))
+}
+
+// OneBook tells whether all that run hold the same book, are sure of it, and act in it under epochs of their own; else who
+// does not.
+func (r *Rig) OneBook() (bool, string) {
+	epochs := map[uint64]string{}
+	first := ""
+	for _, i := range r.Living() {
+		v, err := r.View(i)
+		switch name := r.all[i].name; {
+		case err != nil:
+			return false, err.Error()
+		case v.Book == nil || v.Book.Version == 0 || v.Book.Epoch == 0:
+			return false, name + " holds no book"
+		case v.Book.Sure < 0:
+			return false, fmt.Sprintf("%s is not sure: %.1f s", name, v.Book.Sure)
+		case epochs[v.Book.Epoch] != "":
+			return false, fmt.Sprintf("%s and %s act under epoch %d", name, epochs[v.Book.Epoch], v.Book.Epoch)
+		case first == "":
+			first = v.Book.Digest
+		case v.Book.Digest != first:
+			return false, fmt.Sprintf("%s holds version %d, %s, others %s", name, v.Book.Version, v.Book.Digest, first)
+		}
+		epochs[v.Book.Epoch] = r.all[i].name
+	}
+	return true, ""
+}
+
 // Start starts a scheduler, anew or for the first time.
 func (r *Rig) Start(i int) error {
 	x := r.all[i]
@@ -382,8 +421,8 @@
 	}
 	members := ""
 	if !r.Apart {
-		members = fmt.Sprintf(`<members listen="%s" advertise="%s" seeds="%s" key="%s"/>`, x.listen, x.relay.LocalAddr(), strings.Join(seeds, " "),
-			filepath.Join(r.Dir, "key"))
+		members = fmt.Sprintf(`<members listen="%s" advertise="%s" seeds="%s" key="%s"%s/>`, x.listen, x.relay.LocalAddr(), strings.Join(seeds, " "),
+			filepath.Join(r.Dir, "key"), r.stewards())
 	}
 	list := r.list.Address()
 	if x.toList != nil {
@@ -396,7 +435,7 @@
 	x.free.Close()
 	r.w.Trace.Add(audit.Record{At: r.w.Now(), Kind: audit.Born, Sched: x.name})
 	cmd, address, err := spawn.Scheduler(r.ctx, append(slices.Clone(r.Command), "serve", "--site", file, "--state", x.folder, "--name", x.name,
-		"--index", fmt.Sprint(i), "--seed", fmt.Sprint(r.Seed*1000+uint64(i)+1), "--address-file", filepath.Join(r.Dir, x.name+".addr")), x.log,
+		"--index", fmt.Sprint(i), "--zone", r.place.Zones[i%2], "--seed", fmt.Sprint(r.Seed*1000+uint64(i)+1), "--address-file", filepath.Join(r.Dir, x.name+".addr")), x.log,
 		filepath.Join(r.Dir, x.name+".addr"))
 	if err != nil {
 		return err
--- a/internal/lab/procs/procs_test.go
+++ b/internal/lab/procs/procs_test.go
@@ -12,13 +12,16 @@
 // TestMain lets the test's own program be the scheduler processes that the rig starts.
 func TestMain(m *testing.M) { spawn.Main(m.Run) }
 
-// soon waits until all agree.
+// soon waits until all agree on who is there, and on one book where there is one.
 func soon(t *testing.T, r *Rig, within time.Duration) {
 	t.Helper()
 	why := ""
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		var ok bool
-		if ok, why = r.Agreed(); ok {
+		if ok, why = r.Agreed(); ok && r.Stewards > 0 {
+			ok, why = r.OneBook()
+		}
+		if ok {
 			return
 		}
 	}
@@ -137,3 +140,55 @@
 	}
 	t.Logf("%v", res.Answers)
 }
+
+const council = `# the stewards: one killed, two of three stopped, one cut off; then most of all killed
+0     lossy 9000 0.05
+200   kill  3000 0    0
+4000  stop  3000 0    1 2
+8000  part  3000 0    1
+9000  kill  1500 0    3 4 5
+11500 kill  1000 0    0 2 3 4
+`
+
+// TestBook has six processes under load, three of them stewards, agree on one book among kills, stops and cuts: no rule
+// breaks, and all hold the same in the end.
+func TestBook(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	steps, err := Parse(strings.NewReader(council), 6)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Begin(t.Context(), Plan{Command: []string{self}, Schedulers: 6, Nodes: 8, Rate: 60, Seed: 3, Dir: t.TempDir(), Stewards: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	soon(t, r, 20*time.Second)
+	before, err := r.View(5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Play(t.Context(), steps, t.Logf); err != nil {
+		t.Error(err)
+	}
+	soon(t, r, 20*time.Second)
+	after, err := r.View(5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if after.Book.Version <= before.Book.Version || after.Book.Epoch <= before.Book.Epoch {
+		t.Errorf("version %d, epoch %d; before %d, %d", after.Book.Version, after.Book.Epoch, before.Book.Version, before.Book.Epoch)
+	}
+	res := r.End()
+	for i, b := range res.Breaks {
+		if i < 5 {
+			t.Error(b)
+		}
+	}
+	if res.Answers["served"] < 100 {
+		t.Errorf("%v", res.Answers)
+	}
+	t.Logf("%v, %+v", res.Answers, *after.Book)
+}
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -271,3 +271,6 @@
 
 // True is the true time.
 func (c *Clock) True() float64 { return c.now }
+
+// Drift has the process's clock run fast by a part, or slow, from its next life on.
+func (p *Process) Drift(part float64) { p.drift = part }
--- /dev/null
+++ b/internal/proto/book/book.go
@@ -0,0 +1,224 @@
+// Package book is the codec of the book that a site's schedulers agree on, and of what they say of it to each other
+// (book.proto). What does not fit its bounds is not read.
+package book
+
+import (
+	"errors"
+	"math"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"ravenpond/internal/proto/field"
+)
+
+// Kinds of messages.
+const (
+	Council  = 1
+	Ask      = 2
+	Word     = 3
+	Fetch    = 4
+	Page     = 5
+	Proposal = 6
+)
+
+// Kinds of commands.
+const (
+	Act     = 1 // a process acts in a new life
+	Out     = 2 // a process is out
+	Verdict = 3 // on a zone
+	Plan    = 4 // who takes how much of whom
+)
+
+const (
+	form       = 1
+	longest    = 64 // of a name
+	longCause  = 200
+	mostShares = 4096
+)
+
+// Errors of reading.
+var (
+	ErrBad   = field.ErrBad
+	ErrNewer = errors.New("written by a later version")
+)
+
+// AppendMessage appends a message to another member. Fields that a kind does not have are empty.
+func AppendMessage(b []byte, kind uint32, body []byte, number, version, written, offset, total uint64) []byte {
+	b = field.Whole(b, 1, uint64(kind))
+	if len(body) > 0 {
+		b = field.Bytes(b, 2, body)
+	}
+	b = field.Whole(b, 3, number)
+	b = field.Whole(b, 4, version)
+	b = field.Whole(b, 5, written)
+	b = field.Whole(b, 6, offset)
+	return field.Whole(b, 7, total)
+}
+
+// ReadMessage gives a message's fields to f.
+func ReadMessage(b []byte, f func(kind uint32, body []byte, number, version, written, offset, total uint64)) error {
+	var v [8]uint64
+	var body []byte
+	err := field.Each(b, func(at protowire.Number, n uint64, x []byte) bool {
+		if at == 2 {
+			body = x
+		} else if int(at) < len(v) {
+			v[at] = n
+		}
+		return true
+	})
+	if err != nil || v[1] < Council || v[1] > Proposal {
+		return ErrBad
+	}
+	f(uint32(v[1]), body, v[3], v[4], v[5], v[6], v[7])
+	return nil
+}
+
+// AppendCommand appends a command. Shares follow by AppendShare.
+func AppendCommand(b []byte, name string, life, number uint64, at float64, kind uint32, subject, zone, region string, epoch uint64,
+	state uint32, cause string) []byte {
+	b = field.Text(b, 1, name)
+	b = field.Whole(b, 2, life)
+	b = field.Whole(b, 3, number)
+	b = field.Real(b, 4, at)
+	b = field.Whole(b, 5, uint64(kind))
+	b = field.Text(b, 6, subject)
+	b = field.Text(b, 7, zone)
+	b = field.Text(b, 8, region)
+	b = field.Whole(b, 9, epoch)
+	b = field.Whole(b, 10, uint64(state))
+	return field.Text(b, 11, cause)
+}
+
+// AppendShare appends a share to a command (or, as the book's, to a snapshot).
+func AppendShare(b []byte, from, to string, part uint32) []byte { return share(b, 12, from, to, part) }
+
+func share(b []byte, as protowire.Number, from, to string, part uint32) []byte {
+	return field.Bytes(b, as, field.Whole(field.Text(field.Text(nil, 1, from), 2, to), 3, uint64(part)))
+}
+
+// ReadCommand gives a command's fields to f, its shares before to each.
+func ReadCommand(b []byte, each func(from, to string, part uint32), f func(name string, life, number uint64, at float64, kind uint32,
+	subject, zone, region string, epoch uint64, state uint32, cause string)) error {
+	var v [13]uint64
+	var s [13]string
+	shares := 0
+	err := field.Each(b, func(at protowire.Number, n uint64, x []byte) bool {
+		switch {
+		case at == 12:
+			shares++
+			return shares <= mostShares && readShare(x, each)
+		case int(at) < len(v):
+			v[at], s[at] = n, string(x)
+		}
+		return len(x) <= longest || at == 11 && len(x) <= longCause
+	})
+	when := math.Float64frombits(v[4])
+	if err != nil || s[1] == "" || v[2] == 0 || v[5] == 0 || v[5] > math.MaxUint32 || v[10] > math.MaxUint32 || math.IsNaN(when) || math.IsInf(when, 0) {
+		return ErrBad
+	}
+	f(s[1], v[2], v[3], when, uint32(v[5]), s[6], s[7], s[8], v[9], uint32(v[10]), s[11])
+	return nil
+}
+
+func readShare(b []byte, each func(from, to string, part uint32)) bool {
+	var from, to string
+	var part uint64
+	err := field.Each(b, func(at protowire.Number, n uint64, x []byte) bool {
+		switch at {
+		case 1:
+			from = string(x)
+		case 2:
+			to = string(x)
+		case 3:
+			part = n
+		}
+		return len(x) <= longest
+	})
+	if err != nil || from == "" || to == "" || part > 1000 {
+		return false
+	}
+	each(from, to, uint32(part))
+	return true
+}
+
+// AppendHead appends the head of a snapshot; AppendProcess, AppendZone and AppendHeld follow, each in its order.
+func AppendHead(b []byte, version uint64, now float64, epochs, plan uint64) []byte {
+	b = field.Whole(b, 1, form)
+	b = field.Whole(b, 2, version)
+	b = field.Real(b, 3, now)
+	b = field.Whole(b, 4, epochs)
+	return field.Whole(b, 8, plan)
+}
+
+// AppendProcess appends a process to a snapshot.
+func AppendProcess(b []byte, name string, life, epoch uint64, zone, region string, out bool, number uint64, refused uint32, speaks uint64) []byte {
+	p := field.Whole(field.Whole(field.Text(nil, 1, name), 2, life), 3, epoch)
+	p = field.Text(field.Text(p, 4, zone), 5, region)
+	if out {
+		p = field.Whole(p, 6, 1)
+	}
+	return field.Bytes(b, 5, field.Whole(field.Whole(field.Whole(p, 7, number), 8, uint64(refused)), 9, speaks))
+}
+
+// AppendZone appends a zone to a snapshot.
+func AppendZone(b []byte, name string, state uint32, since float64, version uint64, closings uint32, rest float64, cause string) []byte {
+	z := field.Real(field.Whole(field.Text(nil, 1, name), 2, uint64(state)), 3, since)
+	z = field.Real(field.Whole(field.Whole(z, 4, version), 5, uint64(closings)), 6, rest)
+	return field.Bytes(b, 6, field.Text(z, 7, cause))
+}
+
+// AppendHeld appends a share of the plan to a snapshot.
+func AppendHeld(b []byte, from, to string, part uint32) []byte { return share(b, 7, from, to, part) }
+
+// Taker takes what a snapshot holds, its head first.
+type Taker interface {
+	Head(version uint64, now float64, epochs, plan uint64)
+	Process(name string, life, epoch uint64, zone, region string, out bool, number uint64, refused uint32, speaks uint64)
+	Zone(name string, state uint32, since float64, version uint64, closings uint32, rest float64, cause string)
+	Held(from, to string, part uint32)
+}
+
+// ReadSnapshot gives what a snapshot holds to t.
+func ReadSnapshot(b []byte, t Taker) error {
+	var v [9]uint64
+	if err := field.Each(b, func(at protowire.Number, n uint64, _ []byte) bool {
+		if int(at) < len(v) {
+			v[at] = n
+		}
+		return true
+	}); err != nil {
+		return err
+	}
+	switch {
+	case v[1] > form:
+		return ErrNewer
+	case v[1] == 0:
+		return ErrBad
+	}
+	t.Head(v[2], math.Float64frombits(v[3]), v[4], v[8])
+	return field.Each(b, func(at protowire.Number, _ uint64, x []byte) bool {
+		var n [10]uint64
+		var s [10]string
+		if at != 5 && at != 6 && at != 7 {
+			return true
+		}
+		if at == 7 {
+			return readShare(x, t.Held)
+		}
+		if field.Each(x, func(f protowire.Number, v uint64, y []byte) bool {
+			if int(f) < len(n) {
+				n[f], s[f] = v, string(y)
+			}
+			return true
+		}) != nil || s[1] == "" {
+			return false
+		}
+		if at == 5 {
+			t.Process(s[1], n[2], n[3], s[4], s[5], n[6] != 0, n[7], uint32(n[8]), n[9])
+		} else {
+			t.Zone(s[1], uint32(n[2]), math.Float64frombits(n[3]), n[4], uint32(n[5]), math.Float64frombits(n[6]), s[7])
+		}
+		return true
+	})
+}
--- a/internal/proto/members/members.go
+++ b/internal/proto/members/members.go
@@ -10,6 +10,8 @@
 	"math"
 
 	"google.golang.org/protobuf/encoding/protowire"
+
+	"ravenpond/internal/proto/field"
 )
 
 // Most is the most bytes of a datagram: it fits a usual network's packet whole.
@@ -25,6 +27,7 @@
 	Nack     = 6 // no answer came to that
 	Page     = 7 // a part of what the sender holds of all
 	Answered = 8 // what the receiver of a page holds that is newer
+	Carry    = 9 // a part of a message of those who agree on the book
 )
 
 // States of a member, in the order in which they count at one version.
@@ -45,7 +48,7 @@
 // Errors of datagrams.
 var (
 	ErrForeign = errors.New("not sealed with this site's key for this receiver")
-	ErrBad     = errors.New("sealed, but not a datagram of members")
+	ErrBad     = field.ErrBad // sealed, but not a datagram of members
 )
 
 // Taker takes what a datagram holds, its head first.
@@ -57,6 +60,10 @@
 	Lease(place int, given bool, counted []byte, lent bool, lentCounted []byte)
 	// Word is that a node is not ready by a version of the node list.
 	Word(node uint32, version uint64, gone bool)
+	// Book is the version of the book that the sender holds.
+	Book(version uint64)
+	// Part is a part of a message that a member carries for others of the program: the datagram's number is the message's.
+	Part(index, of int, body []byte)
 	// Silent asks what is heard of a node; Hears answers: its life, and how long ago it was heard, ms.
 	Silent(node uint32)
 	Hears(node uint32, life uint64, ago float64)
@@ -65,73 +72,71 @@
 // Begin appends the head of a datagram. Fields that a kind does not have are empty.
 func Begin(b []byte, site, from, address string, life, count, toLife uint64, kind uint32, number uint64, target string, view uint64,
 	after, until string) []byte {
-	b = text(b, 1, site)
-	b = text(b, 2, from)
-	b = text(b, 3, address)
-	b = number64(b, 4, life)
-	b = number64(b, 5, count)
-	b = number64(b, 6, toLife)
-	b = number64(b, 7, uint64(kind))
-	b = number64(b, 8, number)
-	b = text(b, 9, target)
+	b = field.Text(b, 1, site)
+	b = field.Text(b, 2, from)
+	b = field.Text(b, 3, address)
+	b = field.Whole(b, 4, life)
+	b = field.Whole(b, 5, count)
+	b = field.Whole(b, 6, toLife)
+	b = field.Whole(b, 7, uint64(kind))
+	b = field.Whole(b, 8, number)
+	b = field.Text(b, 9, target)
 	if view != 0 {
 		b = protowire.AppendFixed64(protowire.AppendTag(b, 10, protowire.Fixed64Type), view)
 	}
-	b = text(b, 11, after)
-	return text(b, 12, until)
+	b = field.Text(b, 11, after)
+	return field.Text(b, 12, until)
 }
 
 // Lease appends a sender's place, counted from 0, and with an answer whether it gives leave and whom it counts, for cold nodes
 // and for what is lent of limits.
 func Lease(b []byte, place int, given bool, counted []byte, lent bool, lentCounted []byte) []byte {
-	b = number64(b, 14, uint64(place+1))
+	b = field.Whole(b, 14, uint64(place+1))
 	b = leave(b, 15, given, 16, counted)
 	return leave(b, 18, lent, 19, lentCounted)
 }
 
 func leave(b []byte, yes protowire.Number, given bool, whom protowire.Number, counted []byte) []byte {
 	if given {
-		b = number64(b, yes, 1)
+		b = field.Whole(b, yes, 1)
 	}
 	if len(counted) > 0 {
-		b = protowire.AppendBytes(protowire.AppendTag(b, whom, protowire.BytesType), counted)
+		b = field.Bytes(b, whom, counted)
 	}
 	return b
 }
 
+// Book appends the version of the book that the sender holds.
+func Book(b []byte, version uint64) []byte { return field.Whole(b, 22, version) }
+
+// MostPart is the most bytes of a part, beside the longest head.
+const MostPart = Most - sealed - 6*(longest+3) - 12*11
+
+// Part appends a part of a message.
+func Part(b []byte, index, of int, body []byte) []byte {
+	p := field.Whole(field.Whole(nil, 1, uint64(index)), 2, uint64(of))
+	return field.Bytes(b, 23, field.Bytes(p, 3, body))
+}
+
 // News appends an item if it fits; false if it does not.
 func News(b []byte, name, address string, life, version uint64, state uint32, by string) ([]byte, bool) {
 	var item []byte
-	item = text(item, 1, name)
-	item = text(item, 2, address)
-	item = number64(item, 3, life)
-	item = number64(item, 4, version)
-	item = number64(item, 5, uint64(state))
-	item = text(item, 6, by)
+	item = field.Text(item, 1, name)
+	item = field.Text(item, 2, address)
+	item = field.Whole(item, 3, life)
+	item = field.Whole(item, 4, version)
+	item = field.Whole(item, 5, uint64(state))
+	item = field.Text(item, 6, by)
 	return part(b, 13, item)
 }
 
 // part appends a message as a field if it fits.
-func part(b []byte, field protowire.Number, message []byte) ([]byte, bool) {
+func part(b []byte, as protowire.Number, message []byte) ([]byte, bool) {
 	const length = 2 // bytes that say how long it is, at most
-	if len(b)+protowire.SizeTag(field)+length+len(message)+sealed > Most {
+	if len(b)+protowire.SizeTag(as)+length+len(message)+sealed > Most {
 		return b, false
 	}
-	return protowire.AppendBytes(protowire.AppendTag(b, field, protowire.BytesType), message), true
-}
-
-func text(b []byte, field protowire.Number, s string) []byte {
-	if s == "" {
-		return b
-	}
-	return protowire.AppendString(protowire.AppendTag(b, field, protowire.BytesType), s)
-}
-
-func number64(b []byte, field protowire.Number, v uint64) []byte {
-	if v == 0 {
-		return b
-	}
-	return protowire.AppendVarint(protowire.AppendTag(b, field, protowire.VarintType), v)
+	return field.Bytes(b, as, message), true
 }
 
 func seal(b, key []byte, to string) []byte {
@@ -158,9 +163,9 @@
 	var s, from, address, target, after, until string
 	var life, count, toLife, kind, number, view, place, given, lent uint64
 	var counted, lentCounted []byte
-	err := fields(body, func(field protowire.Number, v uint64, x []byte) bool {
+	err := field.Each(body, func(at protowire.Number, v uint64, x []byte) bool {
 		var into *string
-		switch field {
+		switch at {
 		case 1:
 			into = &s
 		case 2:
@@ -209,7 +214,7 @@
 		return err
 	case s != site:
 		return ErrForeign
-	case from == "" || address == "" || life == 0 || kind < Hello || kind > Answered || place > mostPlaces:
+	case from == "" || address == "" || life == 0 || kind < Hello || kind > Carry || place > mostPlaces:
 		return ErrBad
 	}
 	if !t.Head(from, address, life, count, toLife, uint32(kind), number, target, view, after, until) {
@@ -218,8 +223,8 @@
 	if place > 0 {
 		t.Lease(int(place-1), given != 0, counted, lent != 0, lentCounted)
 	}
-	return fields(body, func(field protowire.Number, v uint64, x []byte) bool {
-		switch field {
+	return field.Each(body, func(at protowire.Number, v uint64, x []byte) bool {
+		switch at {
 		case 13:
 			return item(x, t)
 		case 17:
@@ -231,17 +236,42 @@
 			t.Silent(uint32(v))
 		case 21:
 			return hears(x, t)
+		case 22:
+			t.Book(v)
+		case 23:
+			return parts(x, t)
+		}
+		return true
+	})
+}
+
+func parts(b []byte, t Taker) bool {
+	var index, of uint64
+	var body []byte
+	err := field.Each(b, func(at protowire.Number, v uint64, x []byte) bool {
+		switch at {
+		case 1:
+			index = v
+		case 2:
+			of = v
+		case 3:
+			body = x
 		}
 		return true
 	})
+	if err != nil || of == 0 || of > math.MaxInt16 || index >= of {
+		return false
+	}
+	t.Part(int(index), int(of), body)
+	return true
 }
 
 // numbers reads a message of three numbers, the first of which names a node.
 func numbers(b []byte) (node uint32, second, third uint64, ok bool) {
 	var all [3]uint64
-	err := fields(b, func(field protowire.Number, v uint64, _ []byte) bool {
-		if field >= 1 && int(field) <= len(all) {
-			all[field-1] = v
+	err := field.Each(b, func(at protowire.Number, v uint64, _ []byte) bool {
+		if at >= 1 && int(at) <= len(all) {
+			all[at-1] = v
 		}
 		return true
 	})
@@ -267,9 +297,9 @@
 
 // Hears appends what is heard of a node if it fits; false if it does not.
 func Hears(b []byte, node uint32, life uint64, ago float64) ([]byte, bool) {
-	h := number64(nil, 1, uint64(node))
+	h := field.Whole(nil, 1, uint64(node))
 	h = protowire.AppendFixed64(protowire.AppendTag(h, 2, protowire.Fixed64Type), life)
-	h = number64(h, 3, uint64(min(max(0, math.Ceil(ago)), math.MaxUint32)))
+	h = field.Whole(h, 3, uint64(min(max(0, math.Ceil(ago)), math.MaxUint32)))
 	return part(b, 21, h)
 }
 
@@ -283,9 +313,9 @@
 
 // Word appends a word of a node if it fits; false if it does not.
 func Word(b []byte, node uint32, version uint64, gone bool) ([]byte, bool) {
-	w := number64(number64(nil, 1, uint64(node)), 2, version)
+	w := field.Whole(field.Whole(nil, 1, uint64(node)), 2, version)
 	if gone {
-		w = number64(w, 3, 1)
+		w = field.Whole(w, 3, 1)
 	}
 	return part(b, 17, w)
 }
@@ -293,21 +323,21 @@
 func item(b []byte, t Taker) bool {
 	var name, address, by string
 	var life, version, state uint64
-	err := fields(b, func(field protowire.Number, v uint64, x []byte) bool {
+	err := field.Each(b, func(at protowire.Number, v uint64, x []byte) bool {
 		switch {
 		case len(x) > longest:
 			return false
-		case field == 1:
+		case at == 1:
 			name = string(x)
-		case field == 2:
+		case at == 2:
 			address = string(x)
-		case field == 3:
+		case at == 3:
 			life = v
-		case field == 4:
+		case at == 4:
 			version = v
-		case field == 5:
+		case at == 5:
 			state = v
-		case field == 6:
+		case at == 6:
 			by = string(x)
 		}
 		return true
@@ -318,31 +348,3 @@
 	t.News(name, address, life, version, uint32(state), by)
 	return true
 }
-
-// fields gives each field of a message: numbers of either kind in v, all else in x. Unknown ones are given too.
-func fields(b []byte, each func(field protowire.Number, v uint64, x []byte) bool) error {
-	for len(b) > 0 {
-		field, kind, n := protowire.ConsumeTag(b)
-		if n < 0 {
-			return ErrBad
-		}
-		b = b[n:]
-		var v uint64
-		var x []byte
-		switch kind {
-		case protowire.VarintType:
-			v, n = protowire.ConsumeVarint(b)
-		case protowire.Fixed64Type:
-			v, n = protowire.ConsumeFixed64(b)
-		case protowire.BytesType:
-			x, n = protowire.ConsumeBytes(b)
-		default:
-			return ErrBad
-		}
-		if n < 0 || !each(field, v, x) {
-			return ErrBad
-		}
-		b = b[n:]
-	}
-	return nil
-}
--- a/internal/proto/members/members_test.go
+++ b/internal/proto/members/members_test.go
@@ -26,6 +26,12 @@
 	t.lines = append(t.lines, fmt.Sprint("word ", node, version, gone))
 }
 
+func (t *taker) Book(version uint64) { t.lines = append(t.lines, fmt.Sprint("book ", version)) }
+
+func (t *taker) Part(index, of int, body []byte) {
+	t.lines = append(t.lines, fmt.Sprint("part ", index, of, len(body)))
+}
+
 func (t *taker) Silent(node uint32) { t.lines = append(t.lines, fmt.Sprint("silent ", node)) }
 
 func (t *taker) Hears(node uint32, life uint64, ago float64) {
@@ -118,3 +124,22 @@
 	f.Add(datagram())
 	f.Fuzz(func(_ *testing.T, b []byte) { _ = Open(Seal(b, key, "r"), key, "site", "r", &taker{}) })
 }
+
+// TestPart holds that the longest part fits a datagram with the longest head, and comes out as it went in.
+func TestPart(t *testing.T) {
+	long := strings.Repeat("x", longest)
+	b := Begin(nil, long, long, long, 1<<63, 1<<63, 1<<63, Carry, 1<<63, long, 1<<63, long, long)
+	b = Part(Book(b, 1<<63), 62, 64, make([]byte, MostPart))
+	if b = Seal(b, key, "9.9.9.9:1"); len(b) > Most {
+		t.Errorf("%d bytes", len(b))
+	}
+	var x taker
+	if err := Open(b, key, long, "9.9.9.9:1", &x); err != nil || len(x.lines) != 3 || x.lines[1] != fmt.Sprint("book ", uint64(1<<63)) ||
+		x.lines[2] != fmt.Sprint("part ", 62, 64, MostPart) {
+		t.Errorf("%q, %v", x.lines, err)
+	}
+	bad := Part(Begin(nil, "s", "a", "b", 1, 1, 1, Carry, 1, "", 0, "", ""), 3, 3, nil)
+	if err := Open(Seal(bad, key, "c"), key, "s", "c", &taker{}); err != ErrBad {
+		t.Errorf("a part beyond the last: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/serve/book.go
@@ -0,0 +1,75 @@
+package serve
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ravenpond/internal/control"
+	"ravenpond/internal/decide/council"
+	store "ravenpond/internal/state/council"
+)
+
+// keepBook begins to know the others, and to agree with them on the book where the site file names stewards.
+func (s *Server) keepBook() error {
+	if err := s.keepMembers(); err != nil {
+		return err
+	}
+	place := s.who.Place
+	if len(place.Members.Stewards) == 0 {
+		return nil
+	}
+	who := council.Charter{Name: s.who.Name, Zone: s.who.Zone, Life: s.circle.life, Stewards: place.Members.Stewards, Seed: s.who.Seed}
+	switch at := slices.Index(place.Zones, s.who.Zone); {
+	case at >= 0:
+		who.Region = place.Regions[at]
+	case s.who.Zone != "":
+		return fmt.Errorf("zone %q: the site file has %q", s.who.Zone, place.Zones)
+	}
+	var disk control.Disk
+	steward := slices.Contains(who.Stewards, who.Name)
+	if steward {
+		open := s.who.Steward
+		if open == nil {
+			open = func() (control.Disk, error) { return store.Open(s.who.Folder, place.Name) }
+		}
+		var err error
+		if disk, err = open(); err != nil {
+			return err
+		}
+	}
+	run, err := control.Begin(s.w, s.log, s.circle.run, who, disk)
+	if err != nil {
+		return err
+	}
+	s.control = run
+	s.log.Info().Str("mode", "council").Bool("steward", steward).Strs("stewards", who.Stewards).Str("zone", who.Zone).Str("region", who.Region).Msg("agrees")
+	return nil
+}
+
+// bookView is what people are shown of the book. The council's own part comes with the next look.
+func (s *Server) bookView(now float64) *Book {
+	if s.control == nil {
+		return nil
+	}
+	view := s.control.View()
+	b := &Book{Version: view.Book.Version(), Digest: fmt.Sprintf("%016x", xxhash.Sum64(view.Book.Snapshot())), Sure: (view.Sure - now) / 1000,
+		Zones: map[string]string{}}
+	if p, ok := view.Book.Process(s.who.Name); ok {
+		b.Epoch = p.Epoch
+	}
+	for _, z := range view.Book.Zones() {
+		b.Zones[z.Name] = z.State.String()
+	}
+	c := &s.circle
+	c.mu.Lock()
+	b.Steward, b.Leads, b.Halted, b.Figures = c.council.Steward, c.council.Leads, c.council.Halted, c.council.Figures
+	c.mu.Unlock()
+	s.control.Ask(func(k *council.Council) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.council = Book{Steward: slices.Contains(s.who.Place.Members.Stewards, s.who.Name), Leads: k.Leads(), Halted: k.Halted(), Figures: k.Figures}
+	})
+	return b
+}
--- a/internal/serve/drains_test.go
+++ b/internal/serve/drains_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
 
 	"ravenpond/internal/audit"
 	"ravenpond/internal/decide/calendar"
@@ -28,7 +29,7 @@
 		serveAlone(folder)
 		return
 	}
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m)
 }
 
 // killedAt kills its process when windows are told of, or lets them be.
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"ravenpond/internal/decide/council"
 	"ravenpond/internal/decide/degree"
 	decide "ravenpond/internal/decide/members"
 	"ravenpond/internal/members"
@@ -36,6 +37,8 @@
 	until   atomic.Uint64 // bits of until when that holds
 	degree  degree.Gauge
 	mu      sync.Mutex
+	life    uint64
+	council Book     // what the council said of itself last
 	held    []uint32 // nodes that others say are not ready, ahead of the list here
 	told    float64
 
@@ -74,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	s.circle.run = run
+	s.circle.run, s.circle.life = run, uint64(life)
 	s.log.Info().Str("mode", "members").Str("address", run.Address()).Uint32("life", life).Int("places", cl.Schedulers).Msg("asks for the others")
 	s.every(lookMembers, s.lookMembers)
 	return nil
@@ -257,6 +260,18 @@
 	Taken                 bool
 	Figures               decide.Figures
 	Members               []Seen
+	Book                  *Book `json:",omitempty"`
+}
+
+// Book is what it holds of the book that all agree on.
+type Book struct {
+	Version, Epoch uint64
+	Digest         string  // of all its bytes
+	Sure           float64 // s for which the scheduler may act by it yet; under 0: it acts by the careful reading
+	Steward, Leads bool
+	Halted         string `json:",omitempty"`
+	Zones          map[string]string
+	Figures        council.Figures
 }
 
 // Seen is one of the others.
@@ -280,6 +295,7 @@
 			v.Members = append(v.Members, x)
 		}
 	})
+	v.Book = s.bookView(now)
 	b, err := json.MarshalIndent(v, "", " ")
 	if err == nil {
 		err = s.folder.Show(MembersFile, b)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"ravenpond/internal/aside"
+	"ravenpond/internal/control"
 	"ravenpond/internal/decide/calendar"
 	"ravenpond/internal/decide/desk"
 	"ravenpond/internal/decide/entry"
@@ -48,9 +49,13 @@
 	// Resize takes wanted numbers of shards while the scheduler runs.
 	Resize <-chan int
 
+	// Zone is where it runs, one of the site file's; empty: it is not told.
+	Zone string
 	// Disk keeps the folder if it is not nil, and Windows opens the maintenance windows, nil if there are none.
 	Disk    state.Disk
 	Windows func() (Windows, error)
+	// Steward opens what a steward of the book must not forget; nil: that in the folder.
+	Steward func() (control.Disk, error)
 	// Clubs opens the store of tenants where they come and go; nil: that in the folder.
 	Clubs func() (Clubs, error)
 
@@ -101,6 +106,7 @@
 	counted map[int]count   // what shards hold, as last counted
 	clubs   clubs           // tenants, where they come and go
 	circle  circle          // the other schedulers, where the site file has members
+	control *control.Runner // what they agree on, where it names stewards
 
 	mu       sync.Mutex
 	owners   map[uint32]*owner
@@ -203,7 +209,7 @@
 	if err := s.keepClubs(); err != nil {
 		return nil, err
 	}
-	if err := s.keepMembers(); err != nil {
+	if err := s.keepBook(); err != nil {
 		return nil, err
 	}
 	if s.door, err = w.Listen(place.OwnersListen, s.came); err != nil {
@@ -287,6 +293,9 @@
 // End answers all that is open and ends the scheduler; then is called when that is done.
 func (s *Server) End(then func(error)) {
 	s.door.Close()
+	if s.control != nil {
+		s.control.End()
+	}
 	if s.circle.run != nil {
 		s.circle.run.End()
 	}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -61,7 +61,8 @@
 			{Name: "answer-margin", Kind: sheet.Duration, Default: "100ms", Min: 1, Max: 60e3},
 			{Name: "settle", Kind: sheet.Duration, Default: "3s", Min: 1, Max: hour},
 		}},
-		{Name: "zone", Least: 1, Key: "name", Attrs: []sheet.Attr{{Name: "name", Kind: sheet.Name, Must: true}}},
+		{Name: "zone", Least: 1, Key: "name", Attrs: []sheet.Attr{{Name: "name", Kind: sheet.Name, Must: true},
+			{Name: "region", Kind: sheet.Name}}},
 		{Name: "machine", Least: 1, Key: "kind", Attrs: []sheet.Attr{
 			{Name: "kind", Kind: sheet.Name, Must: true},
 			{Name: "cores", Kind: sheet.Number, Must: true, Min: 0.01, Max: 1e6},
@@ -114,6 +115,7 @@
 			{Name: "key", Kind: sheet.Text, Must: true},
 			{Name: "advertise", Kind: sheet.Address},
 			{Name: "lends", Kind: sheet.Number, Default: "0.5", Min: 0, Max: 1},
+			{Name: "stewards", Kind: sheet.Text},
 		}},
 		{Name: "node-list", Least: 1, Most: 1, Attrs: []sheet.Attr{{Name: "address", Kind: sheet.Address, Must: true}}},
 		{Name: "owners", Least: 1, Most: 1, Attrs: []sheet.Attr{{Name: "listen", Kind: sheet.Address, Must: true},
@@ -134,6 +136,7 @@
 	Name               string
 	Cluster            logic.Cluster
 	Zones, Kinds, Jobs []string
+	Regions            []string // of the zones, empty where the site file names none
 	Tenants            []string
 	Shares             []float64
 	Hosted             int // tenants that come and go, so many at once; 0: those of the site file
@@ -161,7 +164,9 @@
 	Others string   // the address by which others reach it, where that is another
 	Seeds  []string // addresses at which others are asked for first
 	Key    string   // file of the site's member key
-	Lends  float64  // part of tenants' limits that is lent to those who are there, from 0 to 1
+	// Stewards are the schedulers, by name, who agree on the book that all follow; none: there is no book.
+	Stewards []string
+	Lends    float64 // part of tenants' limits that is lent to those who are there, from 0 to 1
 }
 
 // Load reads a site file. All faults are in the error, a line each.
@@ -209,6 +214,7 @@
 	}
 	for _, z := range top.All("zone") {
 		p.Zones = append(p.Zones, z.Text("name"))
+		p.Regions = append(p.Regions, z.Text("region"))
 	}
 	p.Drains = calendar.Limits{Fleet: 0.25, Zone: 0.5, Kind: 0.5, Cold: 20, Margin: 1.2, Guard: 5 * time.Second}
 	if d := top.One("drains"); d != nil {
@@ -283,6 +289,11 @@
 				fault(m, "<members>: advertise %q: an address of digits and a port are expected", a)
 			}
 		}
+		p.Members.Stewards = strings.Fields(m.Text("stewards"))
+		slices.Sort(p.Members.Stewards)
+		if n := len(p.Members.Stewards); n != 0 && n != 3 && n != 5 || len(slices.Compact(slices.Clone(p.Members.Stewards))) != n {
+			fault(m, "<members>: stewards %q: three or five schedulers by name are expected", m.Text("stewards"))
+		}
 		if len(p.Members.Seeds) == 0 {
 			fault(m, "<members>: seeds: at least one address is expected")
 		}
