--- a/internal/lab/council/council.go
+++ b/internal/lab/council/council.go
@@ -404,3 +404,40 @@
 	return slices.DeleteFunc(seeds.Each(ctx, a, b, workers, func(seed uint64) Verdict { return Play(seed, plant) }),
 		func(v Verdict) bool { return v.Commands == 0 && v.Broken == "" })
 }
+
+// Cost is what the book costs at rest: messages and bytes a second that a steward and one who follows send for it, and writes
+// to a steward's disk.
+type Cost struct{ Steward, Follows, StewardBytes, FollowsBytes, Writes float64 }
+
+// Rest plays so many processes, three of them stewards, to which nothing happens.
+func Rest(seed uint64, number int) (c Cost) {
+	const from, until = 8000, 28000
+	g := &play{c: sim.NewClock(seed), rng: rand.New(rand.NewPCG(seed, 0xc0)), names: []string{"s0", "s1", "s2"}, agreed: map[uint64][]byte{}}
+	for i := range number {
+		x := &proc{g: g, name: fmt.Sprint("s", i)}
+		x.p = g.c.NewProcess(x.name)
+		if i < len(g.names) {
+			x.disk = &disk{p: x.p}
+		}
+		g.procs = append(g.procs, x)
+		x.start()
+	}
+	sum := func(by float64) {
+		for i, x := range g.procs {
+			x.r.Ask(func(k *council.Council) {
+				m, b, w := by*float64(k.Figures.Messages), by*float64(k.Figures.Bytes), by*float64(k.Figures.Writes)
+				if i < len(g.names) {
+					c.Steward, c.StewardBytes, c.Writes = c.Steward+m, c.StewardBytes+b, c.Writes+w
+				} else {
+					c.Follows, c.FollowsBytes = c.Follows+m, c.FollowsBytes+b
+				}
+			})
+		}
+	}
+	g.c.At(from, func() { sum(-1) })
+	g.c.At(until, func() { sum(1) })
+	g.c.Until(until + 500)
+	span := float64(until-from) / 1000
+	stewards, follow := float64(len(g.names))*span, float64(max(1, number-len(g.names)))*span
+	return Cost{c.Steward / stewards, c.Follows / follow, c.StewardBytes / stewards, c.FollowsBytes / follow, c.Writes / stewards}
+}
--- a/internal/lab/council/council_test.go
+++ b/internal/lab/council/council_test.go
@@ -48,3 +48,15 @@
 		})
 	}
 }
+
+// TestRest holds what the book costs while nothing happens: who follows asks three stewards twice a second whatever the number of
+// processes, and nothing is written.
+func TestRest(t *testing.T) {
+	for _, n := range []int{3, 12, 50} {
+		c := Rest(1, n)
+		t.Logf("%d processes: %+v", n, c)
+		if c.Follows > 6.5 || c.Writes > 0 || c.Steward > 20+2.2*float64(n) {
+			t.Errorf("%d processes: %+v", n, c)
+		}
+	}
+}
