Failover between zones decided in common: evidence, verdicts in the book, a plan, a return by steps

decide/zones judges at the leader of the stewards by what processes in other zones hear (a zone is lost when at least two others and more than half say so; load is no evidence), proposes verdicts to the book, divides what leaves a closed zone by the room left near first, and reckons for each process which part of which zone it sends to: near first where the site file says how far zones are, by the plan while its own is closed, a quarter more each two seconds on return, and less and nothing new while it is not sure. serve pings a few nodes of each zone, reports each 250 ms, and holds back what is not to be sent to as it does nodes that others say drain; the module is untouched. Off unless the site file names stewards; not in `run`.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -4,7 +4,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -13,8 +15,10 @@
 	"ravenpond/internal/decide/book"
 	"ravenpond/internal/decide/council"
 	"ravenpond/internal/decide/members"
+	"ravenpond/internal/decide/zones"
 	runner "ravenpond/internal/members"
 	"ravenpond/internal/outside"
+	codec "ravenpond/internal/proto/book"
 )
 
 // Disk keeps what a steward must not forget.
@@ -25,6 +29,14 @@
 	Close() error
 }
 
+// Site is what the verdicts on zones rest on. Without zones there are none.
+type Site struct {
+	Zones []string
+	Held  map[string]book.State         // by operators
+	Far   func(from, to string) float64 // ms one way; nil: all are as far
+	Judge zones.Judge                   // with what tests plant in it
+}
+
 // View is the book at one moment. It is never changed.
 type View struct {
 	Book *book.Book
@@ -58,13 +70,22 @@
 	mail []mail
 	asks []func(*council.Council) // by other goroutines
 
-	c     *council.Council // the loop's own
-	holds uint64
+	c      *council.Council // the loop's own
+	holds  uint64
+	site   Site
+	judge  zones.Judge
+	judged float64
 }
 
+// judgeEach is the time between two looks of the leader at the zones, ms.
+const judgeEach = 100
+
 // Begin runs a process's part in the council of its site on the members' datagrams. A steward's disk is its own from then on.
-func Begin(w outside.World, log zerolog.Logger, all *runner.Runner, who council.Charter, disk Disk) (*Runner, error) {
-	r := &Runner{w: w, log: log, all: all, disk: disk}
+func Begin(w outside.World, log zerolog.Logger, all *runner.Runner, who council.Charter, disk Disk, site Site) (*Runner, error) {
+	if site.Far == nil {
+		site.Far = func(string, string) float64 { return 0 }
+	}
+	r := &Runner{w: w, log: log, all: all, disk: disk, site: site, judge: site.Judge}
 	var saved council.Saved
 	if disk != nil {
 		var err error
@@ -77,6 +98,14 @@
 		return nil, err
 	}
 	r.c = c
+	c.Reported(func(from string, b []byte) {
+		sums := map[string]zones.Sum{}
+		if codec.ReadSums(b, func(zone string, nodes, heard, cold int, room, used float64) {
+			sums[zone] = zones.Sum{Nodes: nodes, Heard: heard, Cold: cold, Room: room, Used: used}
+		}) == nil {
+			r.judge.Report(r.w.Now(), from, sums)
+		}
+	})
 	r.view.Store(&View{Book: c.Book(), Sure: math.Inf(-1)})
 	r.loop = w.Loop(r.turn)
 	all.See(func(d *members.Detector) { d.Carries(carrier{r}) })
@@ -128,10 +157,49 @@
 		f(r.c)
 	}
 	r.c.Tick(r.w.Now())
+	r.look(r.w.Now())
 	r.publish()
 	return min(nap, max(0.1, r.c.Next()-r.w.Now()))
 }
 
+// look has the leader judge the zones, and propose to the book what follows.
+func (r *Runner) look(now float64) {
+	if !r.c.Leads() {
+		r.judge.Forget()
+		return
+	}
+	if len(r.site.Zones) == 0 || now < r.judged+judgeEach {
+		return
+	}
+	r.judged = now
+	b := r.c.Book()
+	for _, p := range r.judge.Decide(now, b, r.site.Zones, r.site.Held) {
+		r.log.Info().Str("mode", "zones").Str("zone", p.Zone).Stringer("is", b.Zone(p.Zone).State).Stringer("wanted", p.To).Str("cause", p.Cause).Msg("verdict proposed")
+		r.c.Propose(func(out []byte, number uint64) []byte {
+			return codec.AppendCommand(out, r.c.Name(), r.c.Life(), number, now, codec.Verdict, p.Zone, "", "", p.Seen, uint32(p.To), p.Cause)
+		})
+	}
+	if plan, ok := r.judge.Plan(now, b, r.site.Zones, r.site.Far); ok {
+		r.c.Propose(func(out []byte, number uint64) []byte {
+			out = codec.AppendCommand(out, r.c.Name(), r.c.Life(), number, now, codec.Plan, "", "", "", 0, 0, "")
+			for _, s := range plan {
+				out = codec.AppendShare(out, s.From, s.To, s.Cores)
+			}
+			return out
+		})
+	}
+}
+
+// Report tells the leader what this process hears of the zones.
+func (r *Runner) Report(sums map[string]zones.Sum) {
+	b := codec.AppendMessage(nil, codec.Report, nil, 0, 0, 0, 0, 0)
+	for _, zone := range slices.Sorted(maps.Keys(sums)) {
+		s := sums[zone]
+		b = codec.AppendSum(b, zone, s.Nodes, s.Heard, s.Cold, s.Room, s.Used)
+	}
+	r.Ask(func(c *council.Council) { c.Report(b) })
+}
+
 // publish lets traffic see what has changed, and others which version is held.
 func (r *Runner) publish() {
 	was := r.view.Load()
--- a/internal/decide/council/council.go
+++ b/internal/decide/council/council.go
@@ -134,6 +134,8 @@
 	conf     *pb.ConfState
 	Figures  Figures
 	answered func(number uint64, r book.Refusal)
+	leader   string // as far as is known
+	reported func(from string, b []byte)
 }
 
 type waiting struct {
@@ -149,7 +151,7 @@
 // New begins a process's part. saved is what a steward finds on its disk.
 func New(edge Edge, now float64, who Charter, saved Saved) (*Council, error) {
 	c := &Council{edge: edge, who: who, rng: rand.New(rand.NewPCG(who.Seed, 0xb00c)), now: now, book: book.New(), words: map[string]word{},
-		askAt: now, tickAt: now, heard: map[string]bool{}, answered: func(uint64, book.Refusal) {}}
+		askAt: now, tickAt: now, heard: map[string]bool{}, answered: func(uint64, book.Refusal) {}, reported: func(string, []byte) {}}
 	c.self = uint64(slices.Index(who.Stewards, who.Name) + 1)
 	if c.self > 0 {
 		if err := c.begin(saved); err != nil {
@@ -260,6 +262,19 @@
 	return c.number
 }
 
+// Report sends a message of kind Report to the leader, as far as one is known: it is the leader's at once if that is here.
+func (c *Council) Report(b []byte) {
+	switch {
+	case c.leads:
+		c.reported(c.who.Name, b)
+	case c.leader != "":
+		c.hand(c.leader, b)
+	}
+}
+
+// Reported has f take reports while this process leads.
+func (c *Council) Reported(f func(from string, b []byte)) { c.reported = f }
+
 // Next is when Tick is to be called at the latest.
 func (c *Council) Next() float64 {
 	at := min(c.tickAt, c.askAt)
@@ -376,6 +391,13 @@
 
 func (c *Council) say(to string, kind uint32, body []byte, number, version, written, offset, total uint64) {
 	b := codec.AppendMessage(nil, kind, body, number, version, written, offset, total)
+	if kind == codec.Word && c.leads {
+		b = codec.AppendLeads(b)
+	}
+	c.hand(to, b)
+}
+
+func (c *Council) hand(to string, b []byte) {
 	c.Figures.Messages++
 	c.Figures.Bytes += uint64(len(b))
 	c.edge.Carry(to, b)
@@ -384,7 +406,7 @@
 // Heard takes a message of another member.
 func (c *Council) Heard(now float64, from string, b []byte) {
 	c.now = max(c.now, now)
-	_ = codec.ReadMessage(b, func(kind uint32, body []byte, number, version, written, offset, total uint64) { // what can't be read is lost
+	_ = codec.ReadMessage(b, func(kind uint32, body []byte, number, version, written, offset, total uint64, leads bool) { // what can't be read is lost
 		switch kind {
 		case codec.Council:
 			c.step(from, body)
@@ -394,12 +416,21 @@
 			}
 		case codec.Word:
 			c.told(from, number, version, written)
+			if leads {
+				c.leader = from
+			} else if c.leader == from {
+				c.leader = ""
+			}
 		case codec.Fetch:
 			c.show(from, number, offset)
 		case codec.Page:
 			c.turned(from, body, version, offset, total)
 		case codec.Proposal:
 			c.taken(body)
+		case codec.Report:
+			if c.leads {
+				c.reported(from, b)
+			}
 		}
 	})
 	c.work()
@@ -434,7 +465,11 @@
 
 // told takes a steward's word.
 func (c *Council) told(from string, number, version, written uint64) {
-	if slices.Index(c.who.Stewards, from) < 0 || number > c.asked || c.asked-number >= uint64(len(c.asks)) {
+	if slices.Index(c.who.Stewards, from) < 0 {
+		return
+	}
+	c.Ahead(c.now, from, version)
+	if number > c.asked || c.asked-number >= uint64(len(c.asks)) {
 		return
 	}
 	c.heard[from] = true
@@ -451,7 +486,6 @@
 		c.words[from] = word{asked, written}
 		c.lease()
 	}
-	c.Ahead(c.now, from, version)
 }
 
 // halt has this steward take no part any more in this life. It follows from then on.
@@ -550,6 +584,9 @@
 	})
 }
 
+// Name is this process's.
+func (c *Council) Name() string { return c.who.Name }
+
 // Life is the life in which this process acts.
 func (c *Council) Life() uint64 { return c.who.Life }
 
@@ -686,6 +723,14 @@
 		}
 	}
 	c.hold(b)
+	if !c.leads {
+		return
+	}
+	for _, p := range b.Processes() { // they would hear of it with their next ask: what is agreed on is rare, and to be acted on soon
+		if !p.Out && slices.Index(c.who.Stewards, p.Name) < 0 {
+			c.say(p.Name, codec.Word, nil, 0, b.Version(), c.written(), 0, 0)
+		}
+	}
 }
 
 // cut takes what is old out of the log, and writes the book in its place.
--- a/internal/engine/nodes.go
+++ b/internal/engine/nodes.go
@@ -78,10 +78,15 @@
 // them goes on: the list says what becomes of it.
 func (e *Engine) Warned(now float64, ids []uint32, out bool) { e.keepOut(now, ids, byWord, out) }
 
+// Zoned keeps nodes out, or no longer, whose zone this scheduler sends nothing to. What is on its way to them, or runs there, goes
+// on: it may run, so nothing of it is started elsewhere that must not be.
+func (e *Engine) Zoned(now float64, ids []uint32, out bool) { e.keepOut(now, ids, byZone, out) }
+
 // Why a node is kept out, whatever the list says.
 const (
 	byCalendar = 1 << iota
 	byWord
+	byZone
 )
 
 func (e *Engine) keepOut(now float64, ids []uint32, why uint8, takes bool) {
@@ -135,6 +140,16 @@
 	}
 }
 
+// Cores is how many cores the allocations ask for that are out to a node, or run there.
+func (e *Engine) Cores(id uint32) (sum float64) {
+	if nd, ok := e.nodeAt[id]; ok {
+		for _, p := range e.nodes[nd].on {
+			sum += e.allocs[p].cores
+		}
+	}
+	return sum
+}
+
 // MoveOff stops up to so many of what runs at a node, of the job types that may be; their owners ask again. It
 // returns how many it stopped.
 func (e *Engine) MoveOff(now float64, id uint32, may []bool, most int) (stopped int) {
--- a/internal/lab/council/council.go
+++ b/internal/lab/council/council.go
@@ -194,7 +194,7 @@
 		d = x.disk
 	}
 	x.r, err = control.Begin(x.p, zerolog.Nop(), m, council.Charter{Name: x.name, Zone: "z" + x.name[1:], Life: x.life, Stewards: g.names, Seed: g.rng.Uint64(),
-		Plant: g.plant}, d)
+		Plant: g.plant}, d, control.Site{})
 	if err != nil {
 		g.fail(err.Error())
 	}
--- a/internal/lab/procs/procs_test.go
+++ b/internal/lab/procs/procs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -192,3 +193,50 @@
 	}
 	t.Logf("%v, %+v", res.Answers, *after.Book)
 }
+
+// TestZone has eight processes in four zones lose one zone's nodes and have them back, under load, while the leader of the
+// stewards may be any: all leave it, nothing is started there meanwhile, no rule breaks, and all send there again.
+func TestZone(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Begin(t.Context(), Plan{Command: []string{self}, Schedulers: 8, Nodes: 12, Rate: 80, Seed: 4, Dir: t.TempDir(), Stewards: 3, Zones: 4, Relays: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	soon(t, r, 20*time.Second)
+	all := func(what float64, within time.Duration) (last float64) {
+		t.Helper()
+		var parts []float64
+		for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			at, part, err := r.Sends("south")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if parts = part; slices.Min(part) == what && slices.Max(part) == what {
+				return slices.Max(at)
+			}
+		}
+		t.Fatalf("parts of the zone that are sent to: %v, want %g", parts, what)
+		return 0
+	}
+	lost := float64(time.Now().UnixMilli())
+	r.Lose("south", true)
+	left := all(0, 20*time.Second) - lost
+	time.Sleep(3 * time.Second)
+	r.Lose("south", false)
+	back := float64(time.Now().UnixMilli())
+	again := all(1, 40*time.Second) - back
+	time.Sleep(time.Second)
+	res := r.End()
+	for i, b := range res.Breaks {
+		if i < 5 {
+			t.Error(b)
+		}
+	}
+	if res.Answers["served"] < 100 {
+		t.Errorf("%v", res.Answers)
+	}
+	t.Logf("left by all after %.0f ms, all send there again %.0f ms after its return; %v", left, again, res.Answers)
+}
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -274,3 +274,6 @@
 
 // Drift has the process's clock run fast by a part, or slow, from its next life on.
 func (p *Process) Drift(part float64) { p.drift = part }
+
+// Paused tells whether the process stands still.
+func (p *Process) Paused() bool { return p.paused }
--- a/internal/proto/book/book.go
+++ b/internal/proto/book/book.go
@@ -19,6 +19,7 @@
 	Fetch    = 4
 	Page     = 5
 	Proposal = 6
+	Report   = 7
 )
 
 // Kinds of commands.
@@ -34,6 +35,8 @@
 	longest    = 64 // of a name
 	longCause  = 200
 	mostShares = 4096
+
+	MostCores = 1 << 20 // of a share
 )
 
 // Errors of reading.
@@ -55,9 +58,43 @@
 	return field.Whole(b, 7, total)
 }
 
+// AppendLeads says in a word that the sender leads the stewards.
+func AppendLeads(b []byte) []byte { return field.Whole(b, 8, 1) }
+
+// AppendSum appends what is heard of a zone to a report.
+func AppendSum(b []byte, zone string, nodes, heard, cold int, room, used float64) []byte {
+	s := field.Whole(field.Whole(field.Text(nil, 1, zone), 2, uint64(nodes)), 3, uint64(heard))
+	return field.Bytes(b, 9, field.Real(field.Real(field.Whole(s, 4, uint64(cold)), 5, room), 6, used))
+}
+
+// ReadSums gives what a report says of each zone to f.
+func ReadSums(b []byte, f func(zone string, nodes, heard, cold int, room, used float64)) error {
+	return field.Each(b, func(at protowire.Number, _ uint64, x []byte) bool {
+		if at != 9 {
+			return true
+		}
+		var v [7]uint64
+		zone := ""
+		err := field.Each(x, func(at protowire.Number, n uint64, y []byte) bool {
+			if at == 1 {
+				zone = string(y)
+			} else if int(at) < len(v) {
+				v[at] = n
+			}
+			return len(y) <= longest
+		})
+		room, used := math.Float64frombits(v[5]), math.Float64frombits(v[6])
+		if err != nil || zone == "" || max(v[2], v[3], v[4]) > math.MaxInt32 || v[3] > v[2] || !(room >= 0 && room < 1e12 && used >= 0 && used < 1e12) {
+			return false
+		}
+		f(zone, int(v[2]), int(v[3]), int(v[4]), room, used)
+		return true
+	})
+}
+
 // ReadMessage gives a message's fields to f.
-func ReadMessage(b []byte, f func(kind uint32, body []byte, number, version, written, offset, total uint64)) error {
-	var v [8]uint64
+func ReadMessage(b []byte, f func(kind uint32, body []byte, number, version, written, offset, total uint64, leads bool)) error {
+	var v [9]uint64
 	var body []byte
 	err := field.Each(b, func(at protowire.Number, n uint64, x []byte) bool {
 		if at == 2 {
@@ -67,10 +104,10 @@
 		}
 		return true
 	})
-	if err != nil || v[1] < Council || v[1] > Proposal {
+	if err != nil || v[1] < Council || v[1] > Report {
 		return ErrBad
 	}
-	f(uint32(v[1]), body, v[3], v[4], v[5], v[6], v[7])
+	f(uint32(v[1]), body, v[3], v[4], v[5], v[6], v[7], v[8] != 0)
 	return nil
 }
 
@@ -135,7 +172,7 @@
 		}
 		return len(x) <= longest
 	})
-	if err != nil || from == "" || to == "" || part > 1000 {
+	if err != nil || from == "" || to == "" || part > MostCores {
 		return false
 	}
 	each(from, to, uint32(part))
--- a/internal/serve/book.go
+++ b/internal/serve/book.go
@@ -39,11 +39,13 @@
 			return err
 		}
 	}
-	run, err := control.Begin(s.w, s.log, s.circle.run, who, disk)
+	run, err := control.Begin(s.w, s.log, s.circle.run, who, disk, s.zonesOf(place))
 	if err != nil {
 		return err
 	}
 	s.control = run
+	s.zones = s.newZones(place)
+	s.every(lookZones, s.lookZones)
 	s.log.Info().Str("mode", "council").Bool("steward", steward).Strs("stewards", who.Stewards).Str("zone", who.Zone).Str("region", who.Region).Msg("agrees")
 	return nil
 }
@@ -62,6 +64,7 @@
 	for _, z := range view.Book.Zones() {
 		b.Zones[z.Name] = z.State.String()
 	}
+	b.Uses, b.Level = s.zones.shown()
 	c := &s.circle
 	c.mu.Lock()
 	b.Steward, b.Leads, b.Halted, b.Figures = c.council.Steward, c.council.Leads, c.council.Halted, c.council.Figures
--- a/internal/serve/list.go
+++ b/internal/serve/list.go
@@ -354,6 +354,7 @@
 	slices.Sort(out)
 	sh.tell(func(now float64) { sh.eng.Calendar(now, out, true) })
 	s.warn(sh)
+	s.zones.tell(sh)
 }
 
 // indexed gives entries their places as small indices; under the lock. Those whose zone or kind the site file lacks
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -271,6 +271,8 @@
 	Steward, Leads bool
 	Halted         string `json:",omitempty"`
 	Zones          map[string]string
+	Uses           map[string]float64 // parts of zones' nodes that this scheduler sends to
+	Level          int                // how far it looks: 0 its own zone, 1 its region, 2 all
 	Figures        council.Figures
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -107,6 +107,7 @@
 	clubs   clubs           // tenants, where they come and go
 	circle  circle          // the other schedulers, where the site file has members
 	control *control.Runner // what they agree on, where it names stewards
+	zones   *zonesView      // and what follows for zones
 
 	mu       sync.Mutex
 	owners   map[uint32]*owner
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -62,7 +62,9 @@
 			{Name: "settle", Kind: sheet.Duration, Default: "3s", Min: 1, Max: hour},
 		}},
 		{Name: "zone", Least: 1, Key: "name", Attrs: []sheet.Attr{{Name: "name", Kind: sheet.Name, Must: true},
-			{Name: "region", Kind: sheet.Name}}},
+			{Name: "region", Kind: sheet.Name}, {Name: "hold", Kind: sheet.Word, Words: []string{"open", "closed"}}}},
+		{Name: "way", Attrs: []sheet.Attr{{Name: "from", Kind: sheet.Name, Must: true}, {Name: "to", Kind: sheet.Name, Must: true},
+			{Name: "takes", Kind: sheet.Duration, Must: true, Min: 0, Max: hour}}},
 		{Name: "machine", Least: 1, Key: "kind", Attrs: []sheet.Attr{
 			{Name: "kind", Kind: sheet.Name, Must: true},
 			{Name: "cores", Kind: sheet.Number, Must: true, Min: 0.01, Max: 1e6},
@@ -136,7 +138,9 @@
 	Name               string
 	Cluster            logic.Cluster
 	Zones, Kinds, Jobs []string
-	Regions            []string // of the zones, empty where the site file names none
+	Regions            []string              // of the zones, empty where the site file names none
+	Held               map[string]string     // zones that an operator holds "open" or "closed"
+	Ways               map[[2]string]float64 // ms one way from zone to zone, both ways alike; none: no zone is nearer than another
 	Tenants            []string
 	Shares             []float64
 	Hosted             int // tenants that come and go, so many at once; 0: those of the site file
@@ -198,7 +202,7 @@
 		faults = append(faults, sheet.Fault{Line: it.Line, Text: fmt.Sprintf(format, args...)})
 	}
 	cl, rules, limits := top.One("cluster"), top.One("rules"), top.One("limits")
-	p := &Place{Name: top.Text("name"), DrainGrace: rules.Number("drain-grace"), Margin: rules.Number("answer-margin"),
+	p := &Place{Held: map[string]string{}, Ways: map[[2]string]float64{}, Name: top.Text("name"), DrainGrace: rules.Number("drain-grace"), Margin: rules.Number("answer-margin"),
 		Settle: rules.Number("settle"), Open: limits.Int("open"), Owners: limits.Int("owners"),
 		OwnerQueue: limits.Int("owner-queue"), NodeQueue: limits.Int("node-queue"),
 		ListAddress: top.One("node-list").Text("address"), OwnersListen: top.One("owners").Text("listen"), OwnersSecure: top.One("owners").Bool("tls")}
@@ -215,6 +219,21 @@
 	for _, z := range top.All("zone") {
 		p.Zones = append(p.Zones, z.Text("name"))
 		p.Regions = append(p.Regions, z.Text("region"))
+		if hold := z.Text("hold"); hold != "" {
+			p.Held[z.Text("name")] = hold
+		}
+	}
+	for _, w := range top.All("way") {
+		from, to := w.Text("from"), w.Text("to")
+		for _, z := range []string{from, to} {
+			if !slices.Contains(p.Zones, z) {
+				fault(w, "<way>: zone %q is not one of the site's", z)
+			}
+		}
+		if _, twice := p.Ways[[2]string{from, to}]; twice || from == to {
+			fault(w, "<way>: from %q to %q again, or to itself", from, to)
+		}
+		p.Ways[[2]string{from, to}], p.Ways[[2]string{to, from}] = w.Number("takes"), w.Number("takes")
 	}
 	p.Drains = calendar.Limits{Fleet: 0.25, Zone: 0.5, Kind: 0.5, Cold: 20, Margin: 1.2, Guard: 5 * time.Second}
 	if d := top.One("drains"); d != nil {
