--- a/cmd/ravenpond/procs.go
+++ b/cmd/ravenpond/procs.go
@@ -18,6 +18,10 @@
 	Seconds    float64 `default:"10" help:"Before the script, and after it."`
 	Seed       uint64  `default:"1" help:"Seed of all chance."`
 	Apart      bool    `help:"Schedulers do not know each other."`
+	Zones      int     `default:"2" help:"How many zones, two to a region; 2 to 6."`
+	Cores      int     `default:"64" help:"Of a node."`
+	Near       bool    `help:"The site file says how far zones are from each other."`
+	Stewards   int     `default:"0" help:"How many keep the book that all agree on: 0, 3 or 5."`
 	Out        string  `type:"path" help:"Folder for logs; without it a new one in the temporary folder."`
 }
 
@@ -45,7 +49,7 @@
 		return err
 	}
 	r, err := procs.Begin(ctx, procs.Plan{Command: []string{self}, Schedulers: c.Schedulers, Nodes: c.Nodes, Rate: c.Rate, Seed: c.Seed, Dir: c.Out,
-		Apart: c.Apart, Relays: procs.NeedRelays(steps)})
+		Apart: c.Apart, Relays: procs.NeedRelays(steps), Zones: min(6, c.Zones), Cores: c.Cores, Near: c.Near, Stewards: c.Stewards})
 	if err != nil {
 		return err
 	}
@@ -70,7 +74,10 @@
 	} else {
 		fmt.Printf("deaths of those who lived: %d\n", wrong)
 	}
-	fmt.Printf("answers %v, broken rules %d\n", res.Answers, len(res.Breaks))
+	fmt.Printf("answers %v, broken rules %d, ran in the own zone %.3f\n", res.Answers, len(res.Breaks), res.Near)
+	if n := len(res.Late); n > 0 {
+		fmt.Printf("while the script was played: %.3f of the value served in time, start p50 %.1f ms, p99 %.1f ms\n", res.Value, res.Late[n/2], res.Late[n*99/100])
+	}
 	if n := len(res.Starts); n > 0 {
 		fmt.Printf("start p50 %.1f ms, p99 %.1f ms\n", res.Starts[n/2], res.Starts[n*99/100])
 	}
--- a/internal/lab/procs/procs.go
+++ b/internal/lab/procs/procs.go
@@ -33,7 +33,7 @@
   <cluster schedulers="%d" list="told" tries="4" cores-limit="2" memory-limit="1.5" mean-cores="1" mean-memory="2"/>
   <rules drain-grace="600ms" cold-bears="%d" cold-for="3s" cold-window="1s" answer-margin="200ms" settle="600ms"/>
   %s
-  <machine kind="plain" cores="64" memory="128"/>
+  <machine kind="plain" cores="%d" memory="%d"/>
   <job-type name="free" effect="restartable" target="800ms" expiry="3s" value="1"/>
   <job-type name="keyed" effect="tokened" group="zone" window="1500ms" target="1s" expiry="3s" value="2" spread="node" most="3"/>
   <job-type name="once" effect="run-once" target="1s" expiry="1500ms" value="3"/>
@@ -54,6 +54,7 @@
 	Dir        string
 	Apart      bool // schedulers do not know each other
 	Zones      int  // 0: two; in regions of two
+	Cores      int  // of a node, 0: 64
 	Near       bool // the site file says how far zones are from each other
 	Stewards   int  // of the book that they agree on, the first of all; 0: there is none
 	Relays     bool // connections to nodes, list and owners pass relays too
@@ -83,7 +84,8 @@
 	asks  sync.WaitGroup
 	stop  context.CancelFunc
 
-	relays []*relay // to nodes, by their place
+	relays      []*relay // to nodes, by their place
+	from, until float64  // of the last script
 
 	mu    sync.Mutex
 	rng   *rand.Rand
@@ -182,7 +184,7 @@
 // fleet starts the stand-ins of nodes and list.
 func (r *Rig) fleet() error {
 	bears := max(12, r.Schedulers)
-	text := fmt.Sprintf(siteText, r.Schedulers, bears, r.zones(), "", "127.0.0.1:1")
+	text := fmt.Sprintf(siteText, r.Schedulers, bears, r.zones(), r.cores(), 2*r.cores(), "", "127.0.0.1:1")
 	place, faults := site.Read(strings.NewReader(text))
 	if len(faults) > 0 {
 		return fmt.Errorf("site of the rig: %s", faults[0])
@@ -191,7 +193,7 @@
 	r.rules = audit.Rules{Nodes: map[uint32]audit.Stand{}, Grace: place.DrainGrace, ColdBears: bears, ColdFor: place.Cluster.ColdFor,
 		ColdWindow: place.Cluster.FallWindow, Slack: 500,
 		Jobs: []audit.Job{{}, {Effect: audit.Tokened, Group: 1, Window: 1500, Spread: 1, Most: 3}, {Effect: audit.RunOnce}}}
-	mk := standin.Make{Cores: 64, Memory: 128, CoresLimit: 2, MemoryLimit: 1.5, Look: 4, Line: 200, Starts: 16, NoProgram: 3, Programs: 8,
+	mk := standin.Make{Cores: float64(r.cores()), Memory: 2 * float64(r.cores()), CoresLimit: 2, MemoryLimit: 1.5, Look: 4, Line: 200, Starts: 16, NoProgram: 3, Programs: 8,
 		ColdFrom: 0.5, ColdFor: place.Cluster.ColdFor, Fall: 1e9, FallFor: 1000, Bears: bears}
 	for job := range 3 {
 		mk.Work = append(mk.Work, standin.Work{Start: 10, Life: 2500, Use: 0.5, Priority: job, Token: job == 1})
@@ -391,6 +393,8 @@
 	return b.String()
 }
 
+func (r *Rig) cores() int { return cmp.Or(r.Cores, 64) }
+
 func (r *Rig) zoneOf(i int) string { return r.place.Zones[i%len(r.place.Zones)] }
 
 // Lose cuts a zone's nodes off from all schedulers, or lets them be heard again.
@@ -491,7 +495,7 @@
 		list = x.toList.address()
 	}
 	file := filepath.Join(r.Dir, x.name+".xml")
-	if err := os.WriteFile(file, fmt.Appendf(nil, siteText, r.Schedulers, max(12, r.Schedulers), r.zones(), members, list), 0o640); err != nil {
+	if err := os.WriteFile(file, fmt.Appendf(nil, siteText, r.Schedulers, max(12, r.Schedulers), r.zones(), r.cores(), 2*r.cores(), members, list), 0o640); err != nil {
 		return err
 	}
 	x.free.Close()
@@ -716,6 +720,9 @@
 	Answers map[string]int
 	Starts  []float64     // ms from ask to answer of those served at their first ask, sorted
 	CPU     time.Duration // of all schedulers together, of all their lives
+	Near    float64       // part of the tries that ran in the zone of their scheduler
+	Value   float64       // part of the value served in time that was first asked for while a script was played
+	Late    []float64     // start times of those, sorted
 }
 
 // End waits until all asks are answered or overdue, ends all and audits.
@@ -727,15 +734,40 @@
 	r.mu.Unlock()
 	slices.SortStableFunc(records, func(a, b audit.Record) int { return cmp.Compare(a.At, b.At) })
 	res := Result{Breaks: audit.Check(records, r.rules), Answers: map[string]int{}}
+	wanted, served := 0.0, 0.0
 	for _, x := range r.all {
 		for _, t := range x.owner.Tallies() {
 			res.Answers[t.Word]++
+			if t.At >= r.from && t.At < r.until {
+				value := r.place.Cluster.JobTypes[t.Job].Value
+				if wanted += value; t.Word == "served" && t.InTime {
+					served += value
+				}
+				if t.Word == "served" {
+					res.Late = append(res.Late, t.Took)
+				}
+			}
 			if t.Word == "served" && t.First {
 				res.Starts = append(res.Starts, t.Took)
 			}
 		}
 	}
 	slices.Sort(res.Starts)
+	slices.Sort(res.Late)
+	res.Value = served / max(1e-9, wanted)
+	zones := map[string]string{}
+	for i, x := range r.all {
+		zones[x.name] = r.zoneOf(i)
+	}
+	ran, near := 0, 0
+	for _, x := range records {
+		if x.Kind == audit.Ran {
+			if ran++; r.rules.Nodes[x.Node].Zone == zones[x.Sched] {
+				near++
+			}
+		}
+	}
+	res.Near = float64(near) / float64(max(1, ran))
 	r.close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/lab/procs/script.go
+++ b/internal/lab/procs/script.go
@@ -33,13 +33,14 @@
 	"node-slow": "words of a tenth of the nodes to them take so many ms longer, the size",
 	"trickle":   "a tenth of the nodes hear and say so many bytes a second, the size, with them",
 	"reset":     "all their connections break, and again every 250 ms of its time",
+	"zone":      "nobody hears the nodes of a zone, by its number, the size; it names no scheduler",
 	"cold":      "a part, the size, of all nodes is lost and comes back cold; it names no scheduler",
 }
 
 // NeedRelays tells whether steps need connections to pass relays.
 func NeedRelays(steps []Step) bool {
 	return slices.ContainsFunc(steps, func(s Step) bool {
-		return strings.HasPrefix(s.Kind, "list-") || strings.HasPrefix(s.Kind, "node-") || s.Kind == "trickle" || s.Kind == "reset"
+		return strings.HasPrefix(s.Kind, "list-") || strings.HasPrefix(s.Kind, "node-") || s.Kind == "trickle" || s.Kind == "reset" || s.Kind == "zone"
 	})
 }
 
@@ -96,6 +97,8 @@
 // Play plays a script on the rig, and returns when its last step is over.
 func (r *Rig) Play(ctx context.Context, steps []Step, say func(format string, args ...any)) error {
 	began := time.Now()
+	r.from = r.w.Now()
+	defer func() { r.until = r.w.Now() }()
 	var ends time.Duration
 	for _, s := range steps {
 		if err := wait(ctx, began.Add(s.At)); err != nil {
@@ -199,6 +202,10 @@
 				}
 			})
 		}
+	case "zone":
+		zone := r.zoneOf(int(s.Size))
+		r.Lose(zone, true)
+		r.later(s.For, func() { r.Lose(zone, false) })
 	case "cold":
 		r.Renew(s.Size, s.For)
 	}
--- /dev/null
+++ b/internal/serve/metrics.go
@@ -0,0 +1,175 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"ravenpond/internal/decide/council"
+	decide "ravenpond/internal/decide/members"
+	"ravenpond/internal/engine"
+)
+
+// Bounds of the page of counts.
+const (
+	countsWithin = 200 * time.Millisecond // a shard that says nothing for so long is left out
+	headerWithin = 2 * time.Second
+	mostHeader   = 8 << 10
+	mostScrapes  = 4 // at once
+)
+
+// counts gathers what a scheduler counts when it is asked for, by asking each part: nothing is counted twice or kept for it.
+type counts struct {
+	s *Server
+
+	answers, offers, open, tries, shards *prometheus.Desc
+	members, datagrams, deaths           *prometheus.Desc
+	version, sure, messages, writes      *prometheus.Desc
+	zone                                 *prometheus.Desc
+}
+
+func newCounts(s *Server) *counts {
+	d := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc("ravenpond_"+name, help, labels, prometheus.Labels{"scheduler": s.who.Name})
+	}
+	return &counts{s: s,
+		answers:   d("allocations_total", "Allocations by what became of them.", "became"),
+		offers:    d("tries_total", "Placement tries that were sent."),
+		open:      d("allocations_open", "Allocations without a final answer."),
+		tries:     d("tries_held", "Allocations with a try that is out or runs."),
+		shards:    d("shards", "Shards that answered when they were asked."),
+		members:   d("members", "Other schedulers by the state in which they are held.", "state"),
+		datagrams: d("members_datagrams_total", "Members' datagrams.", "way"),
+		deaths:    d("members_deaths_total", "Other schedulers that were held for dead."),
+		version:   d("book_version", "Version of the book that is held."),
+		sure:      d("book_sure_seconds", "For how long it may be acted on yet; under 0 by its careful reading."),
+		messages:  d("book_messages_total", "Messages sent for the book."),
+		writes:    d("book_writes_total", "Writes of a steward."),
+		zone:      d("zone_part", "Part of a zone's nodes that is sent to.", "zone"),
+	}
+}
+
+// Describe names all counts.
+func (c *counts) Describe(out chan<- *prometheus.Desc) { prometheus.DescribeByCollect(c, out) }
+
+// Collect asks all parts.
+func (c *counts) Collect(out chan<- prometheus.Metric) {
+	counter := func(d *prometheus.Desc, v uint64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+	}
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	st, n := c.s.stats()
+	for became, v := range map[string]uint64{"taken": st.Taken, "refused": st.Refused, "served": st.Served, "declined": st.Declined, "failed": st.Failed, "lapsed": st.Lapsed} {
+		counter(c.answers, v, became)
+	}
+	counter(c.offers, st.Offers)
+	gauge(c.open, float64(st.Open))
+	gauge(c.tries, float64(st.Tries))
+	gauge(c.shards, float64(n))
+	if c.s.circle.run != nil {
+		c.s.circle.run.See(func(d *decide.Detector) {
+			alive, suspect, dead, left := d.Count()
+			for state, v := range map[string]int{"alive": alive, "suspect": suspect, "dead": dead, "left": left} {
+				gauge(c.members, float64(v), state)
+			}
+			counter(c.datagrams, d.Figures.Sent, "sent")
+			counter(c.datagrams, d.Figures.Got, "got")
+			counter(c.deaths, d.Figures.Deaths)
+		})
+	}
+	if c.s.control == nil {
+		return
+	}
+	view := c.s.control.View()
+	gauge(c.version, float64(view.Book.Version()))
+	gauge(c.sure, (view.Sure-c.s.w.Now())/1000)
+	parts, _ := c.s.zones.shown()
+	for zone, part := range parts {
+		gauge(c.zone, part, zone)
+	}
+	f := make(chan council.Figures, 1)
+	c.s.control.Ask(func(k *council.Council) { f <- k.Figures })
+	select {
+	case f := <-f:
+		counter(c.messages, f.Messages)
+		counter(c.writes, f.Writes)
+	case <-time.After(countsWithin):
+	}
+}
+
+// stats sums up what shards count, and tells how many answered.
+func (s *Server) stats() (sum engine.Stats, shards int) {
+	s.desk.Lock()
+	all := s.living()
+	s.desk.Unlock()
+	told := make(chan engine.Stats, len(all))
+	asked := 0
+	for _, sh := range all {
+		if sh.tell(func(float64) { told <- sh.eng.Stats() }) {
+			asked++
+		}
+	}
+	late := time.After(countsWithin)
+	for range asked {
+		select {
+		case st := <-told:
+			shards++
+			sum.Taken += st.Taken
+			sum.Refused += st.Refused
+			sum.Served += st.Served
+			sum.Declined += st.Declined
+			sum.Failed += st.Failed
+			sum.Lapsed += st.Lapsed
+			sum.Offers += st.Offers
+			sum.Open += st.Open
+			sum.Tries += st.Tries
+		case <-late:
+			return sum, shards
+		}
+	}
+	return sum, shards
+}
+
+// showCounts serves the page of counts where the site file has an address for it. ended closes it and waits.
+func (s *Server) showCounts(listen string) (address string, ended func(), err error) {
+	if listen == "" {
+		return "", func() {}, nil
+	}
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return "", nil, fmt.Errorf("counts: %w", err)
+	}
+	reg := prometheus.NewRegistry()
+	if err := reg.Register(newCounts(s)); err != nil {
+		l.Close()
+		return "", nil, fmt.Errorf("counts: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{MaxRequestsInFlight: mostScrapes, Timeout: headerWithin}))
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headerWithin, ReadTimeout: headerWithin, WriteTimeout: 2 * headerWithin,
+		IdleTimeout: 30 * time.Second, MaxHeaderBytes: mostHeader}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			s.log.Error().Str("mode", "counts").Err(err).Msg("page ended")
+		}
+	}()
+	s.log.Info().Str("mode", "counts").Str("address", l.Addr().String()).Msg("page")
+	return l.Addr().String(), func() {
+		ctx, stop := context.WithTimeout(context.Background(), countsWithin)
+		defer stop()
+		if srv.Shutdown(ctx) != nil {
+			srv.Close()
+		}
+		<-done
+	}, nil
+}
--- /dev/null
+++ b/internal/serve/metrics_test.go
@@ -0,0 +1,66 @@
+package serve
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestCounts reads the page of counts of a scheduler that has served: each is there once, and who asks while others do is not
+// kept waiting for ever.
+func TestCounts(t *testing.T) {
+	s := newStage(t, 1, 4, false)
+	at := make(chan string, 1)
+	s.tune = func(who *Scheduler) {
+		ready := who.Ready
+		who.Local = func(l *Local) { at <- l.s.countsAt }
+		who.Ready = ready
+	}
+	place := *s.place
+	place.CountsListen = "127.0.0.1:0"
+	s.start(0, place, Plant{})
+	address := <-at
+	s.load(4000, 60, "0001112")
+	get := func(path string) (int, string) {
+		t.Helper()
+		r, err := (&http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Get("http://" + address + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer r.Body.Close()
+		b, err := io.ReadAll(r.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r.StatusCode, string(b)
+	}
+	status, text := get("/metrics")
+	served := 0.0
+	for line := range strings.Lines(text) {
+		if v, ok := strings.CutPrefix(line, `ravenpond_allocations_total{became="served",scheduler="s0"} `); ok {
+			served += number(t, v)
+		}
+	}
+	if status != http.StatusOK || served < 50 || strings.Count(text, "\nravenpond_tries_total{") != 1 || strings.Contains(text, "ravenpond_book") {
+		t.Errorf("status %d, %g served: %.2000s", status, served, text)
+	}
+	if status, _ := get("/"); status != http.StatusNotFound {
+		t.Errorf("another page: %d", status)
+	}
+	s.stop()
+	s.ran.Wait()
+	if _, err := http.Get("http://" + address + "/metrics"); err == nil {
+		t.Error("the page outlives its scheduler")
+	}
+}
+
+func number(t *testing.T, text string) (v float64) {
+	t.Helper()
+	if _, err := fmt.Sscan(text, &v); err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -109,6 +109,9 @@
 	control *control.Runner // what they agree on, where it names stewards
 	zones   *zonesView      // and what follows for zones
 
+	countsAt  string // where counts are shown
+	countsEnd func()
+
 	mu       sync.Mutex
 	owners   map[uint32]*owner
 	ownerIDs uint32
@@ -234,6 +237,9 @@
 	s.handsOver()
 	s.looked.Store(math.Float64bits(w.Now()))
 	s.every(s.lookEach(), s.watch)
+	if s.countsAt, s.countsEnd, err = s.showCounts(who.Place.CountsListen); err != nil {
+		return nil, err
+	}
 	if who.Ready != nil {
 		who.Ready(s.door.Address())
 	}
@@ -294,6 +300,7 @@
 // End answers all that is open and ends the scheduler; then is called when that is done.
 func (s *Server) End(then func(error)) {
 	s.door.Close()
+	s.countsEnd()
 	if s.control != nil {
 		s.control.End()
 	}
--- a/internal/serve/zones.go
+++ b/internal/serve/zones.go
@@ -41,6 +41,7 @@
 	own    map[string]float64 // cores of own work by zone, as last asked for
 	sure   bool
 	level  int
+	book   *book.Book // by which that is
 }
 
 // zonesOf is what verdicts on zones rest on, as the site file has it.
@@ -96,15 +97,19 @@
 // lookZones sums up what is heard of the zones for the leader, and has shards send where the book allows.
 func (s *Server) lookZones() {
 	v, now := s.zones, s.w.Now()
+	view := s.control.View()
+	if now < v.summed+sumZones && view.Book == v.book && (now < view.Sure) == v.sure { // by this loop alone
+		return
+	}
 	nodes := s.ready()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.book = view.Book
 	if now >= v.summed+sumZones {
 		v.summed = now
 		v.sums = s.sumZones(now, nodes)
 		s.control.Report(v.sums)
 	}
-	view := s.control.View()
 	sure, home := now < view.Sure, view.Book.Zone(v.reach.Own).State
 	if home == book.Closed {
 		s.countOwn(nodes)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -119,6 +119,7 @@
 			{Name: "lends", Kind: sheet.Number, Default: "0.5", Min: 0, Max: 1},
 			{Name: "stewards", Kind: sheet.Text},
 		}},
+		{Name: "counts", Most: 1, Attrs: []sheet.Attr{{Name: "listen", Kind: sheet.Address, Must: true}}},
 		{Name: "node-list", Least: 1, Most: 1, Attrs: []sheet.Attr{{Name: "address", Kind: sheet.Address, Must: true}}},
 		{Name: "owners", Least: 1, Most: 1, Attrs: []sheet.Attr{{Name: "listen", Kind: sheet.Address, Must: true},
 			{Name: "tls", Kind: sheet.Bool, Default: "false"}}},
@@ -158,7 +159,8 @@
 	PlaceBy            int // a shares.Way
 	ListAddress        string
 	OwnersListen       string
-	OwnersSecure       bool // the owners' door speaks TLS
+	CountsListen       string // where counts are shown over HTTP, empty: nowhere
+	OwnersSecure       bool   // the owners' door speaks TLS
 	Members            Members
 }
 
@@ -293,6 +295,9 @@
 		p.Expiry = append(p.Expiry, j.Number("expiry"))
 		p.Cluster.JobTypes = append(p.Cluster.JobTypes, jt)
 	}
+	if c := top.One("counts"); c != nil {
+		p.CountsListen = c.Text("listen")
+	}
 	if m := top.One("members"); m != nil {
 		p.Members = Members{Listen: m.Text("listen"), Seeds: strings.Fields(m.Text("seeds")), Key: m.Text("key"), Others: m.Text("advertise"), Lends: m.Number("lends")}
 		if _, err := netip.ParseAddrPort(p.Members.Listen); err != nil {
