--- a/internal/lab/procs/procs_test.go
+++ b/internal/lab/procs/procs_test.go
@@ -1,6 +1,7 @@
 package procs
 
 import (
+	"fmt"
 	"os"
 	"slices"
 	"strings"
@@ -240,3 +241,63 @@
 	}
 	t.Logf("left by all after %.0f ms, all send there again %.0f ms after its return; %v", left, again, res.Answers)
 }
+
+const zones = `# zones lost while stewards die, stand still, are cut off with their own, and most of all are killed
+0     zone 6000 3
+1500  kill 1500 0    0
+14000 stop 4000 0    0 1
+15000 zone 6000 2
+26000 part 4000 0    3 7
+32000 zone 5000 1
+33500 kill 1500 0    2-7
+`
+
+// TestZoneFaults loses zones one after the other for eight processes that keep near, while other things fail: no rule breaks, all
+// hold one book in the end and send everywhere again.
+func TestZoneFaults(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	steps, err := Parse(strings.NewReader(zones), 8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Begin(t.Context(), Plan{Command: []string{self}, Schedulers: 8, Nodes: 12, Rate: 80, Seed: 5, Dir: t.TempDir(), Stewards: 3, Zones: 4, Near: true, Relays: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	soon(t, r, 20*time.Second)
+	if err := r.Play(t.Context(), steps, t.Logf); err != nil {
+		t.Error(err)
+	}
+	soon(t, r, 20*time.Second)
+	own := func() (at string) { // all send to their own zones wholly
+		for i := range r.all {
+			_, part, err := r.Sends(r.zoneOf(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if part[i] < 1 {
+				at += fmt.Sprintf(" %s sends to %g of %s", r.all[i].name, part[i], r.zoneOf(i))
+			}
+		}
+		return at
+	}
+	for end := time.Now().Add(40 * time.Second); own() != "" && time.Now().Before(end); {
+		time.Sleep(200 * time.Millisecond)
+	}
+	if left := own(); left != "" {
+		t.Error(left)
+	}
+	res := r.End()
+	for i, b := range res.Breaks {
+		if i < 5 {
+			t.Error(b)
+		}
+	}
+	if res.Value < 0.3 {
+		t.Errorf("%.3f of the value was served", res.Value)
+	}
+	t.Logf("%v, %.3f of the value served in time, %.3f ran in the own zone", res.Answers, res.Value, res.Near)
+}
