--- /dev/null
+++ b/internal/serve/book_test.go
@@ -0,0 +1,51 @@
+package serve
+
+import (
+	"testing"
+	"time"
+
+	"ravenpond/internal/decide/council"
+	"ravenpond/internal/site"
+)
+
+// TestControlStands has the goroutine of what is agreed on stand still while a scheduler that can't reach the other stewards is
+// asked: traffic waits for none of it, by the last view in its careful reading.
+func TestControlStands(t *testing.T) {
+	s := newStage(t, 1, 4, false)
+	local := make(chan *Server, 1)
+	s.tune = func(who *Scheduler) {
+		who.MemberKey = []byte("a key of some length")
+		who.Zone = who.Place.Zones[0]
+		who.Local = func(l *Local) { local <- l.s }
+	}
+	place := *s.place
+	place.Members = site.Members{Listen: "127.0.0.1:0", Seeds: []string{"127.0.0.1:9"}, Stewards: []string{"s0", "s1", "s2"}}
+	s.start(0, place, Plant{})
+	server := <-local
+	s.load(5000, 60, "0001112")
+	stands, goes := make(chan bool), make(chan bool)
+	server.control.Ask(func(*council.Council) { close(stands); <-goes })
+	<-stands
+	began := s.w.Now()
+	s.load(2500, 60, "0001112")
+	time.Sleep(500 * time.Millisecond)
+	view := server.control.View()
+	close(goes)
+	asked, served := 0, 0
+	for _, x := range s.owner[0].Tallies() {
+		if x.At >= began {
+			if asked++; x.Word == "served" {
+				served++
+			}
+		}
+	}
+	if served < 60 || served < asked*9/10 {
+		t.Errorf("%d of %d were served while control stood still", served, asked)
+	}
+	if view.Book.Version() != 0 || view.Sure > server.w.Now() {
+		t.Errorf("sure of version %d without the other stewards, for %g", view.Book.Version(), view.Sure)
+	}
+	if parts, _ := server.zones.shown(); len(parts) != len(place.Zones) || parts[place.Zones[1]] != 1 {
+		t.Errorf("without a book it sends to %v", parts)
+	}
+}
