A plan follows what a lost zone used before; a zone that is not heard has no room near

Log lines `sends to` and the plan in the book: until the verdict the lost zone's schedulers looked no further than their own zone, as its room stood in the list unused; and the plan shrank each two seconds, as the leader took for what leaves the zone what the list still had in use there, which ends within seconds (Judge.Plan).

--- a/internal/decide/zones/zones.go
+++ b/internal/decide/zones/zones.go
@@ -77,6 +77,7 @@
 	reports  map[string]report // by process
 	since    map[string]spell
 	proposed map[string]proposed
+	used     map[string]float64 // cores of zones while they were open
 	planned  float64
 }
 
@@ -95,13 +96,17 @@
 // Report takes a process's sums.
 func (j *Judge) Report(now float64, from string, sums map[string]Sum) {
 	if j.reports == nil {
-		j.reports, j.since, j.proposed = map[string]report{}, map[string]spell{}, map[string]proposed{}
+		j.begin()
 	}
 	j.reports[from] = report{now, sums}
 }
 
 // Forget drops all that was heard: this process does not lead any more.
-func (j *Judge) Forget() { j.reports, j.since, j.proposed = nil, nil, nil }
+func (j *Judge) Forget() { j.reports, j.since, j.proposed, j.used = nil, nil, nil, nil }
+
+func (j *Judge) begin() {
+	j.reports, j.since, j.proposed, j.used = map[string]report{}, map[string]spell{}, map[string]proposed{}, map[string]float64{}
+}
 
 // seen is how a zone is seen by the others: lost by at least two of them and more than half, well by more than half.
 func (j *Judge) seen(now float64, b *book.Book, zone string) (how int, lost, of int) {
@@ -173,7 +178,7 @@
 			continue
 		}
 		if j.proposed == nil { // nothing was reported, and an operator holds a zone
-			j.reports, j.since, j.proposed = map[string]report{}, map[string]spell{}, map[string]proposed{}
+			j.begin()
 		}
 		j.proposed[zone] = proposed{z.Version, to, now}
 		if to == book.Closed {
@@ -245,15 +250,19 @@
 // processes together never bring a taker beyond it: what does not fit is taken by nobody. False if the plan that stands will do.
 func (j *Judge) Plan(now float64, b *book.Book, all []string, far func(from, to string) float64) ([]Share, bool) {
 	rooms := j.rooms(now)
+	for _, z := range all { // what leaves a zone is what was there before it was lost: its work ends there meanwhile
+		if s := b.Zone(z); s.State == book.Open && j.used != nil && now-s.Since > calmFor && j.since[z].how >= 0 {
+			j.used[z] = rooms[z].Used
+		}
+	}
 	spare, need := map[string]float64{}, map[string]float64{}
 	for _, z := range all {
 		switch s := rooms[z]; b.Zone(z).State {
 		case book.Open, book.Suspect:
 			spare[z] = max(0, bound*s.Room-s.Used)
 		case book.Closed:
-			need[z] = s.Used
-			if s.Used == 0 { // nobody hears it any more: as much as an open one uses
-				need[z] = meanUse(rooms, b, all)
+			if need[z] = j.used[z]; need[z] == 0 { // not known here from when it was open: as much as the others use
+				need[z] = max(s.Used, meanUse(rooms, b, all))
 			}
 		}
 	}
@@ -390,7 +399,8 @@
 		defer func() { r.level = was }()
 		room, used := 0.0, 0.0
 		for _, z := range r.Zones {
-			if s := b.Zone(z.Name).State; (z.Name == r.Own || !r.beyond(z)) && s != book.Closed {
+			s := b.Zone(z.Name).State
+			if (z.Name == r.Own || !r.beyond(z)) && s != book.Closed && !sums[z.Name].lost() { // what is not heard here has no room
 				room, used = room+sums[z.Name].Room, used+sums[z.Name].Used
 			}
 		}
--- a/internal/decide/zones/zones_test.go
+++ b/internal/decide/zones/zones_test.go
@@ -149,12 +149,14 @@
 		used map[string]float64
 		want map[string]uint32
 	}{
-		{"the near one has room for all", map[string]float64{"a": 40, "b": 40, "c": 10, "d": 10}, map[string]uint32{"b": 40}},
+		{"the near one has room for all", map[string]float64{"a": 3, "b": 40, "c": 10, "d": 10}, map[string]uint32{"b": 40}},
 		{"and for half", map[string]float64{"a": 40, "b": 65, "c": 10, "d": 80}, map[string]uint32{"b": 20, "c": 20}},
 		{"not enough anywhere", map[string]float64{"a": 40, "b": 80, "c": 80, "d": 85}, map[string]uint32{"b": 5, "c": 5}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			x := sit(t)
+			x.pass(2000)
+			x.j.Plan(x.now, x.b, names, far) // nothing leaves yet; 40 cores are used in each
 			x.lost["a"] = true
 			x.pass(1500)
 			sums := map[string]Sum{}
@@ -167,7 +169,7 @@
 			plan, ok := x.j.Plan(x.now, x.b, names, far)
 			got := map[string]uint32{}
 			for _, s := range plan {
-				if s.From != "a" {
+				if s.From != "a" { // whose work has mostly ended since
 					t.Errorf("%+v leaves a zone that is open", s)
 				}
 				got[s.To] = s.Cores
@@ -214,6 +216,13 @@
 		look(true, sums(30, 30, 50, 50), nil)
 	}
 	want("near again after a while", look(true, sums(30, 30, 50, 50), nil), "1 0 0 0 ")
+	deaf := sums(30, 30, 50, 50)
+	deaf["a"] = Sum{Nodes: 6, Room: 100}
+	want("its own is not heard: its region at once", look(true, deaf, nil), "1 1 0 0 ")
+	for range 30 {
+		x.now += 500
+		look(true, sums(30, 30, 50, 50), nil)
+	}
 	want("not sure: nothing is opened", look(false, sums(90, 50, 50, 50), nil), "1 0 0 0 ")
 	x.lost["a"] = true
 	x.pass(1500)
