Read again: one disk and one beginning for both laboratories; early words leave

What was sent on a prompt connection before it had begun lay until the next was sent; nothing of the program does that. The rig's tests share how they begin, play and end.

--- a/internal/lab/council/council.go
+++ b/internal/lab/council/council.go
@@ -64,48 +64,78 @@
 	name string
 	p    *sim.Process
 	life uint64
-	m    *members.Runner
 	r    *control.Runner
-	disk *disk
+	disk *Disk
 	held uint64 // the latest version in this life
 }
 
-// disk is a steward's, which outlives its process.
-type disk struct {
-	p        *sim.Process
-	hard     []byte
-	snapshot []byte
-	from     uint64 // of the first entry
-	entries  [][]byte
-	full     bool
+// Disk is a steward's on the laboratory's clock; it outlives its process.
+type Disk struct {
+	Full bool // it takes nothing
+
+	saved council.Saved
+	from  uint64 // of the first entry
 }
 
 var errFull = errors.New("no space left on the disk")
 
-func (d *disk) Load() (council.Saved, error) {
-	return council.Saved{Hard: d.hard, Snapshot: d.snapshot, Entries: slices.Clone(d.entries)}, nil
+// Load gives what was saved.
+func (d *Disk) Load() (council.Saved, error) {
+	return council.Saved{Hard: d.saved.Hard, Snapshot: d.saved.Snapshot, Entries: slices.Clone(d.saved.Entries)}, nil
 }
 
-func (d *disk) Save(hard []byte, from uint64, entries [][]byte, snapshot []byte, _ uint64) error {
-	if d.full {
+// Save keeps it.
+func (d *Disk) Save(hard []byte, from uint64, entries [][]byte, snapshot []byte, _ uint64) error {
+	if d.Full {
 		return errFull
 	}
 	if hard != nil {
-		d.hard = hard
+		d.saved.Hard = hard
 	}
 	if snapshot != nil {
-		d.snapshot = snapshot
+		d.saved.Snapshot = snapshot
 	}
 	if from > 0 {
 		if d.from == 0 || from < d.from {
-			d.from, d.entries = from, nil
+			d.from, d.saved.Entries = from, nil
 		}
-		d.entries = append(d.entries[:min(len(d.entries), int(from-d.from))], entries...)
+		d.saved.Entries = append(d.saved.Entries[:min(len(d.saved.Entries), int(from-d.from))], entries...)
 	}
 	return nil
 }
 
-func (d *disk) Close() error { return nil }
+// Close lets it go.
+func (d *Disk) Close() error { return nil }
+
+// Deaf hears of no member and of no node.
+type Deaf struct{}
+
+// Changed hears nothing.
+func (Deaf) Changed(float64, detector.Member, detector.State) {}
+
+// Taken hears nothing.
+func (Deaf) Taken(float64, string) {}
+
+// Hears hears of no node.
+func (Deaf) Hears(uint32) (life uint64, heard float64, ok bool) { return 0, 0, false }
+
+// Begin begins the members and the control of a scheduler's life in a process of its name; disk is nil unless it is a steward.
+func Begin(p *sim.Process, seed uint64, who council.Charter, disk *Disk, site control.Site) (*control.Runner, error) {
+	var seeds []string
+	for _, s := range who.Stewards {
+		seeds = append(seeds, s+":7")
+	}
+	m, err := members.Begin(p, p.Name+":7", detector.Charter{Site: "lab", Name: p.Name, Address: p.Name + ":7", Life: who.Life, Key: []byte("a key"), Seeds: seeds, Seed: seed}, Deaf{})
+	if err != nil {
+		return nil, err
+	}
+	var d control.Disk
+	if disk != nil {
+		d = disk
+	}
+	who.Name, who.Seed = p.Name, seed+1
+	return control.Begin(p, zerolog.Nop(), m, who, d, site)
+}
 
 // Play plays a seed.
 func Play(seed uint64, plant council.Plant) (v Verdict) {
@@ -130,7 +160,7 @@
 		x := &proc{g: g, name: fmt.Sprint("s", i)}
 		x.p = g.c.NewProcess(x.name)
 		if i < stewards {
-			x.disk = &disk{p: x.p}
+			x.disk = &Disk{}
 		}
 		g.procs = append(g.procs, x)
 	}
@@ -179,33 +209,15 @@
 
 // start begins a life.
 func (x *proc) start() {
-	g := x.g
 	x.life++
 	x.held = 0
-	who := detector.Charter{Site: "lab", Name: x.name, Address: x.name + ":7", Life: x.life, Key: []byte("a key"), Seeds: []string{"s0:7", "s1:7", "s2:7"}, Seed: g.rng.Uint64()}
-	m, err := members.Begin(x.p, x.name+":7", who, deaf{})
-	if err != nil {
-		g.fail(err.Error())
-		return
-	}
-	x.m = m
-	var d control.Disk
-	if x.disk != nil {
-		d = x.disk
-	}
-	x.r, err = control.Begin(x.p, zerolog.Nop(), m, council.Charter{Name: x.name, Zone: "z" + x.name[1:], Life: x.life, Stewards: g.names, Seed: g.rng.Uint64(),
-		Plant: g.plant}, d, control.Site{})
-	if err != nil {
-		g.fail(err.Error())
+	var err error
+	who := council.Charter{Zone: "z" + x.name[1:], Life: x.life, Stewards: x.g.names, Plant: x.g.plant}
+	if x.r, err = Begin(x.p, x.g.rng.Uint64(), who, x.disk, control.Site{}); err != nil {
+		x.g.fail(err.Error())
 	}
 }
 
-type deaf struct{}
-
-func (deaf) Changed(float64, detector.Member, detector.State) {}
-func (deaf) Taken(float64, string)                            {}
-func (deaf) Hears(uint32) (uint64, float64, bool)             { return 0, 0, false }
-
 // kill ends a life, and begins the next after a while.
 func (x *proc) kill(back float64) {
 	if x.r == nil {
@@ -295,9 +307,9 @@
 		case 7: // a disk that is full for the rest of a life
 			at(func() {
 				if x.disk != nil && x.r != nil && !g.lost && g.sound() > len(g.names)/2+1 {
-					x.disk.full = true
+					x.disk.Full = true
 					g.c.At(g.c.True()+most, func() {
-						x.disk.full = false
+						x.disk.Full = false
 						x.kill(300)
 					})
 				}
@@ -306,7 +318,7 @@
 			at(func() {
 				if x.disk != nil && x.r != nil && !g.lost && g.sound() == len(g.names) {
 					g.lost = true
-					*x.disk = disk{p: x.p}
+					*x.disk = Disk{}
 					x.kill(most)
 				}
 			})
@@ -330,7 +342,7 @@
 // sound is how many stewards' disks take something.
 func (g *play) sound() (n int) {
 	for _, x := range g.procs {
-		if x.disk != nil && !x.disk.full {
+		if x.disk != nil && !x.disk.Full {
 			n++
 		}
 	}
@@ -417,7 +429,7 @@
 		x := &proc{g: g, name: fmt.Sprint("s", i)}
 		x.p = g.c.NewProcess(x.name)
 		if i < len(g.names) {
-			x.disk = &disk{p: x.p}
+			x.disk = &Disk{}
 		}
 		g.procs = append(g.procs, x)
 		x.start()
--- a/internal/lab/procs/procs_test.go
+++ b/internal/lab/procs/procs_test.go
@@ -30,29 +30,26 @@
 	t.Errorf("after %s: %s", within, why)
 }
 
-const bad = `# one killed, one stopped, one deaf, a part cut off, all nodes of a zone back cold
-0     lossy 12000 0.05
-200   kill  4500  0    4
-500   cold  500   0.3
-5000  stop  2000  0    3
-5500  deaf  3000  0    0 1
-8500  part  2500  0    0 1
-9000  cold  500   0.5
-`
-
-// TestProcesses plays a bad time for five processes under load: no rule breaks, who is killed or stopped is known to all, and
-// one view comes of it in the end.
-func TestProcesses(t *testing.T) {
+// begin starts the rig by the test's own program, and waits until all agree.
+func begin(t *testing.T, p Plan) *Rig {
+	t.Helper()
 	self, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := Begin(t.Context(), Plan{Command: []string{self}, Schedulers: 5, Nodes: 8, Rate: 60, Seed: 1, Dir: t.TempDir()})
+	p.Command, p.Dir = []string{self}, t.TempDir()
+	r, err := Begin(t.Context(), p)
 	if err != nil {
 		t.Fatal(err)
 	}
 	soon(t, r, 20*time.Second)
-	steps, err := Parse(strings.NewReader(bad), 5)
+	return r
+}
+
+// play plays a script, after which all agree again.
+func play(t *testing.T, r *Rig, script string) {
+	t.Helper()
+	steps, err := Parse(strings.NewReader(script), r.Schedulers)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,6 +57,38 @@
 		t.Error(err)
 	}
 	soon(t, r, 20*time.Second)
+}
+
+// end ends all: no rule is broken, and something was served.
+func end(t *testing.T, r *Rig) Result {
+	t.Helper()
+	res := r.End()
+	for i, b := range res.Breaks {
+		if i < 5 {
+			t.Error(b)
+		}
+	}
+	if res.Answers["served"] < 100 {
+		t.Errorf("%v", res.Answers)
+	}
+	return res
+}
+
+const bad = `# one killed, one stopped, one deaf, a part cut off, all nodes of a zone back cold
+0     lossy 12000 0.05
+200   kill  4500  0    4
+500   cold  500   0.3
+5000  stop  2000  0    3
+5500  deaf  3000  0    0 1
+8500  part  2500  0    0 1
+9000  cold  500   0.5
+`
+
+// TestProcesses plays a bad time for five processes under load: no rule breaks, who is killed or stopped is known to all, and
+// one view comes of it in the end.
+func TestProcesses(t *testing.T) {
+	r := begin(t, Plan{Schedulers: 5, Nodes: 8, Rate: 60, Seed: 1})
+	play(t, r, bad)
 	deaths, err := r.Deaths()
 	if err != nil {
 		t.Error(err)
@@ -73,15 +102,7 @@
 	if len(heard) < 4 {
 		t.Errorf("s004 was killed, and %d of four knew", len(heard))
 	}
-	res := r.End()
-	for i, b := range res.Breaks {
-		if i < 5 {
-			t.Error(b)
-		}
-	}
-	if res.Answers["served"] < 100 {
-		t.Errorf("%v", res.Answers)
-	}
+	res := end(t, r)
 	t.Logf("%v, %d deaths", res.Answers, len(deaths))
 }
 
@@ -114,32 +135,9 @@
 
 // TestWays plays failing ways to list, nodes and owners for four processes under load: no rule breaks, and all are answered.
 func TestWays(t *testing.T) {
-	self, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	steps, err := Parse(strings.NewReader(far), 4)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r, err := Begin(t.Context(), Plan{Command: []string{self}, Schedulers: 4, Nodes: 10, Rate: 60, Seed: 2, Dir: t.TempDir(), Relays: NeedRelays(steps)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	soon(t, r, 20*time.Second)
-	if err := r.Play(t.Context(), steps, t.Logf); err != nil {
-		t.Error(err)
-	}
-	soon(t, r, 20*time.Second)
-	res := r.End()
-	for i, b := range res.Breaks {
-		if i < 5 {
-			t.Error(b)
-		}
-	}
-	if res.Answers["served"] < 100 {
-		t.Errorf("%v", res.Answers)
-	}
+	r := begin(t, Plan{Schedulers: 4, Nodes: 10, Rate: 60, Seed: 2, Relays: true})
+	play(t, r, far)
+	res := end(t, r)
 	t.Logf("%v", res.Answers)
 }
 
@@ -155,27 +153,12 @@
 // TestBook has six processes under load, three of them stewards, agree on one book among kills, stops and cuts: no rule
 // breaks, and all hold the same in the end.
 func TestBook(t *testing.T) {
-	self, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	steps, err := Parse(strings.NewReader(council), 6)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r, err := Begin(t.Context(), Plan{Command: []string{self}, Schedulers: 6, Nodes: 8, Rate: 60, Seed: 3, Dir: t.TempDir(), Stewards: 3})
-	if err != nil {
-		t.Fatal(err)
-	}
-	soon(t, r, 20*time.Second)
+	r := begin(t, Plan{Schedulers: 6, Nodes: 8, Rate: 60, Seed: 3, Stewards: 3})
 	before, err := r.View(5)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := r.Play(t.Context(), steps, t.Logf); err != nil {
-		t.Error(err)
-	}
-	soon(t, r, 20*time.Second)
+	play(t, r, council)
 	after, err := r.View(5)
 	if err != nil {
 		t.Fatal(err)
@@ -183,30 +166,14 @@
 	if after.Book.Version <= before.Book.Version || after.Book.Epoch <= before.Book.Epoch {
 		t.Errorf("version %d, epoch %d; before %d, %d", after.Book.Version, after.Book.Epoch, before.Book.Version, before.Book.Epoch)
 	}
-	res := r.End()
-	for i, b := range res.Breaks {
-		if i < 5 {
-			t.Error(b)
-		}
-	}
-	if res.Answers["served"] < 100 {
-		t.Errorf("%v", res.Answers)
-	}
+	res := end(t, r)
 	t.Logf("%v, %+v", res.Answers, *after.Book)
 }
 
 // TestZone has eight processes in four zones lose one zone's nodes and have them back, under load, while the leader of the
 // stewards may be any: all leave it, nothing is started there meanwhile, no rule breaks, and all send there again.
 func TestZone(t *testing.T) {
-	self, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	r, err := Begin(t.Context(), Plan{Command: []string{self}, Schedulers: 8, Nodes: 12, Rate: 80, Seed: 4, Dir: t.TempDir(), Stewards: 3, Zones: 4, Relays: true})
-	if err != nil {
-		t.Fatal(err)
-	}
-	soon(t, r, 20*time.Second)
+	r := begin(t, Plan{Schedulers: 8, Nodes: 12, Rate: 80, Seed: 4, Stewards: 3, Zones: 4, Relays: true})
 	all := func(what float64, within time.Duration) (last float64) {
 		t.Helper()
 		var parts []float64
@@ -230,15 +197,7 @@
 	back := float64(time.Now().UnixMilli())
 	again := all(1, 40*time.Second) - back
 	time.Sleep(time.Second)
-	res := r.End()
-	for i, b := range res.Breaks {
-		if i < 5 {
-			t.Error(b)
-		}
-	}
-	if res.Answers["served"] < 100 {
-		t.Errorf("%v", res.Answers)
-	}
+	res := end(t, r)
 	t.Logf("left by all after %.0f ms, all send there again %.0f ms after its return; %v", left, again, res.Answers)
 }
 
@@ -255,23 +214,8 @@
 // TestZoneFaults loses zones one after the other for eight processes that keep near, while other things fail: no rule breaks, all
 // hold one book in the end and send everywhere again.
 func TestZoneFaults(t *testing.T) {
-	self, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	steps, err := Parse(strings.NewReader(zones), 8)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r, err := Begin(t.Context(), Plan{Command: []string{self}, Schedulers: 8, Nodes: 12, Rate: 80, Seed: 5, Dir: t.TempDir(), Stewards: 3, Zones: 4, Near: true, Relays: true})
-	if err != nil {
-		t.Fatal(err)
-	}
-	soon(t, r, 20*time.Second)
-	if err := r.Play(t.Context(), steps, t.Logf); err != nil {
-		t.Error(err)
-	}
-	soon(t, r, 20*time.Second)
+	r := begin(t, Plan{Schedulers: 8, Nodes: 12, Rate: 80, Seed: 5, Stewards: 3, Zones: 4, Near: true, Relays: true})
+	play(t, r, zones)
 	own := func() (at string) { // all send to their own zones wholly
 		for i := range r.all {
 			_, part, err := r.Sends(r.zoneOf(i))
@@ -290,12 +234,7 @@
 	if left := own(); left != "" {
 		t.Error(left)
 	}
-	res := r.End()
-	for i, b := range res.Breaks {
-		if i < 5 {
-			t.Error(b)
-		}
-	}
+	res := end(t, r)
 	if res.Value < 0.3 {
 		t.Errorf("%.3f of the value was served", res.Value)
 	}
--- a/internal/lab/zones/zones.go
+++ b/internal/lab/zones/zones.go
@@ -12,16 +12,13 @@
 	"runtime/debug"
 	"slices"
 
-	"github.com/rs/zerolog"
-
 	"ravenpond/internal/control"
 	"ravenpond/internal/decide/book"
 	"ravenpond/internal/decide/council"
-	detector "ravenpond/internal/decide/members"
 	"ravenpond/internal/decide/zones"
+	lab "ravenpond/internal/lab/council"
 	"ravenpond/internal/lab/seeds"
 	"ravenpond/internal/lab/sim"
-	"ravenpond/internal/members"
 )
 
 // Times in ms, and sizes.
@@ -85,41 +82,16 @@
 	zone  string
 	p     *sim.Process
 	life  uint64
-	m     *members.Runner
 	r     *control.Runner
 	reach *zones.Reach
 	parts map[string]float64
 	own   map[string]float64
-	disk  *disk
+	disk  *lab.Disk
 
 	sure   bool
 	surely map[string]float64
 }
 
-// disk is a steward's, which outlives its process.
-type disk struct {
-	saved council.Saved
-	from  uint64
-}
-
-func (d *disk) Load() (council.Saved, error) { return d.saved, nil }
-func (d *disk) Close() error                 { return nil }
-func (d *disk) Save(hard []byte, from uint64, entries [][]byte, snapshot []byte, _ uint64) error {
-	if hard != nil {
-		d.saved.Hard = hard
-	}
-	if snapshot != nil {
-		d.saved.Snapshot = snapshot
-	}
-	if from > 0 {
-		if d.from == 0 || from < d.from {
-			d.from, d.saved.Entries = from, nil
-		}
-		d.saved.Entries = append(slices.Clone(d.saved.Entries[:min(len(d.saved.Entries), int(from-d.from))]), entries...)
-	}
-	return nil
-}
-
 // Play plays a seed.
 func Play(seed uint64, plant Plant) (v Verdict) {
 	g := &play{v: Verdict{Seed: seed}, plant: plant, c: sim.NewClock(seed), rng: rand.New(rand.NewPCG(seed, 0x20e5)), dead: map[string]bool{}, quiet: map[string]int{},
@@ -138,7 +110,7 @@
 		x := &proc{g: g, name: fmt.Sprint("p", i), zone: all[i%len(all)].Name, own: map[string]float64{}, parts: map[string]float64{}}
 		x.p = g.c.NewProcess(x.name)
 		if i < len(g.names) {
-			x.disk = &disk{}
+			x.disk = &lab.Disk{}
 		}
 		g.procs = append(g.procs, x)
 	}
@@ -164,26 +136,9 @@
 	}
 }
 
-type deaf struct{}
-
-func (deaf) Changed(float64, detector.Member, detector.State) {}
-func (deaf) Taken(float64, string)                            {}
-func (deaf) Hears(uint32) (uint64, float64, bool)             { return 0, 0, false }
-
 func (x *proc) start() {
 	g := x.g
 	x.life++
-	who := detector.Charter{Site: "lab", Name: x.name, Address: x.name + ":7", Life: x.life, Key: []byte("a key"), Seeds: []string{"p0:7", "p1:7", "p2:7"}, Seed: g.rng.Uint64()}
-	m, err := members.Begin(x.p, x.name+":7", who, deaf{})
-	if err != nil {
-		g.fail(err.Error())
-		return
-	}
-	x.m = m
-	var d control.Disk
-	if x.disk != nil {
-		d = x.disk
-	}
 	var names []string
 	for _, z := range all {
 		names = append(names, z.Name)
@@ -194,8 +149,9 @@
 		}
 		return 10
 	}, Judge: zones.Judge{Alone: g.plant.Alone}}
-	x.r, err = control.Begin(x.p, zerolog.Nop(), m, council.Charter{Name: x.name, Zone: x.zone, Life: x.life, Stewards: g.names, Seed: g.rng.Uint64(), Plant: g.plant.Council}, d, site)
-	if err != nil {
+	var err error
+	who := council.Charter{Zone: x.zone, Life: x.life, Stewards: g.names, Plant: g.plant.Council}
+	if x.r, err = lab.Begin(x.p, g.rng.Uint64(), who, x.disk, site); err != nil {
 		g.fail(err.Error())
 		return
 	}
--- a/internal/outside/real.go
+++ b/internal/outside/real.go
@@ -355,7 +355,8 @@
 
 func (c *conn) Begin(p Peer, stuck float64) {
 	c.mu.Lock()
-	c.begun, c.stuck, c.writes = true, time.Duration(stuck*1e6), c.raw == nil
+	c.begun, c.stuck = true, time.Duration(stuck*1e6)
+	c.writes = c.raw == nil || len(c.queue) > 0 // what was sent before it was begun is left for a writer
 	writes := c.writes
 	c.mu.Unlock()
 	ok := (!writes || c.r.goes(c.write)) && c.r.goes(func() {
--- a/internal/outside/real_test.go
+++ b/internal/outside/real_test.go
@@ -279,3 +279,30 @@
 		t.Errorf("%d were over twice", len(overs))
 	}
 }
+
+// TestEarly holds that what is sent on a prompt connection before it has begun leaves with its beginning.
+func TestEarly(t *testing.T) {
+	r := NewReal()
+	r.Prompt = true
+	defer r.Close(time.Second)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	made := make(chan Conn, 1)
+	r.Dial(l.Addr().String(), 1000, func(c Conn, _ error) { made <- c })
+	there, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer there.Close()
+	c := <-made
+	c.Send(func(b []byte) []byte { return append(b, "early"...) })
+	c.Begin(newEar(), 1000)
+	_ = there.SetReadDeadline(time.Now().Add(5 * time.Second))
+	got := make([]byte, 5)
+	if _, err := io.ReadFull(there, got); err != nil || string(got) != "early" {
+		t.Errorf("%q, %v", got, err)
+	}
+}
