--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -100,8 +100,8 @@
 	r.c = c
 	c.Reported(func(from string, b []byte) {
 		sums := map[string]zones.Sum{}
-		if codec.ReadSums(b, func(zone string, nodes, heard, cold int, room, used float64) {
-			sums[zone] = zones.Sum{Nodes: nodes, Heard: heard, Cold: cold, Room: room, Used: used}
+		if codec.ReadSums(b, func(zone string, nodes, heard int, room, used float64) {
+			sums[zone] = zones.Sum{Nodes: nodes, Heard: heard, Room: room, Used: used}
 		}) == nil {
 			r.judge.Report(r.w.Now(), from, sums)
 		}
@@ -115,15 +115,17 @@
 // View is the book as this process holds it now.
 func (r *Runner) View() *View { return r.view.Load() }
 
-// Ask has f called with the council on the loop's goroutine.
+// Ask has f called with the council on the loop's goroutine; not if that stands still and too many wait.
 func (r *Runner) Ask(f func(c *council.Council)) {
 	r.mu.Lock()
-	r.asks = append(r.asks, f)
+	if len(r.asks) < mostMail {
+		r.asks = append(r.asks, f)
+	}
 	r.mu.Unlock()
 	r.loop.Wake()
 }
 
-// End ends it, and waits for what it is writing.
+// End ends it: the loop's last turn lets the disk go.
 func (r *Runner) End() {
 	if r.over.Swap(true) {
 		return
@@ -195,7 +197,7 @@
 	b := codec.AppendMessage(nil, codec.Report, nil, 0, 0, 0, 0, 0)
 	for _, zone := range slices.Sorted(maps.Keys(sums)) {
 		s := sums[zone]
-		b = codec.AppendSum(b, zone, s.Nodes, s.Heard, s.Cold, s.Room, s.Used)
+		b = codec.AppendSum(b, zone, s.Nodes, s.Heard, s.Room, s.Used)
 	}
 	r.Ask(func(c *council.Council) { c.Report(b) })
 }
@@ -230,7 +232,7 @@
 type carrier struct{ *Runner }
 
 func (c carrier) Carried(from string, body []byte) {
-	c.put(mail{from: from, body: append([]byte{}, body...)})
+	c.put(mail{from: from, body: body})
 }
 
 func (c carrier) Ahead(from string, version uint64) { c.put(mail{from: from, version: version}) }
--- a/internal/decide/book/book.go
+++ b/internal/decide/book/book.go
@@ -124,6 +124,16 @@
 	return slices.SortedFunc(maps.Values(b.processes), func(x, y Process) int { return cmp.Compare(x.Name, y.Name) })
 }
 
+// Acting is how many processes act from a zone.
+func (b *Book) Acting(zone string) (n int) {
+	for _, p := range b.processes {
+		if !p.Out && p.Zone == zone {
+			n++
+		}
+	}
+	return n
+}
+
 // Zone is what stands of a zone: one of which nothing does is open.
 func (b *Book) Zone(name string) Zone {
 	if z, ok := b.zones[name]; ok {
--- a/internal/decide/council/council.go
+++ b/internal/decide/council/council.go
@@ -498,7 +498,7 @@
 // Ahead takes it that another holds a later version of the book.
 func (c *Council) Ahead(now float64, from string, version uint64) {
 	c.now = max(c.now, now)
-	if version <= c.book.Version() || c.page.from != "" || c.serves() && c.self > 0 {
+	if version <= c.book.Version() || c.page.from != "" || c.serves() {
 		return
 	}
 	c.page.from, c.page.version, c.page.got, c.page.tries = from, 0, nil, 0
--- a/internal/decide/members/members.go
+++ b/internal/decide/members/members.go
@@ -96,7 +96,7 @@
 
 // Carrier takes messages that others of the program send by this one's datagrams.
 type Carrier interface {
-	// Carried is a whole message, which holds for the call alone.
+	// Carried is a whole message, which is the taker's from then on.
 	Carried(from string, body []byte)
 	// Ahead is that another holds a later version of the book than this process said it does.
 	Ahead(from string, version uint64)
--- a/internal/decide/zones/zones.go
+++ b/internal/decide/zones/zones.go
@@ -44,7 +44,6 @@
 // has ready there, the cores and how many are asked for.
 type Sum struct {
 	Nodes, Heard int
-	Cold         int
 	Room, Used   float64
 }
 
--- a/internal/proto/book/book.go
+++ b/internal/proto/book/book.go
@@ -62,18 +62,18 @@
 func AppendLeads(b []byte) []byte { return field.Whole(b, 8, 1) }
 
 // AppendSum appends what is heard of a zone to a report.
-func AppendSum(b []byte, zone string, nodes, heard, cold int, room, used float64) []byte {
+func AppendSum(b []byte, zone string, nodes, heard int, room, used float64) []byte {
 	s := field.Whole(field.Whole(field.Text(nil, 1, zone), 2, uint64(nodes)), 3, uint64(heard))
-	return field.Bytes(b, 9, field.Real(field.Real(field.Whole(s, 4, uint64(cold)), 5, room), 6, used))
+	return field.Bytes(b, 9, field.Real(field.Real(s, 4, room), 5, used))
 }
 
 // ReadSums gives what a report says of each zone to f.
-func ReadSums(b []byte, f func(zone string, nodes, heard, cold int, room, used float64)) error {
+func ReadSums(b []byte, f func(zone string, nodes, heard int, room, used float64)) error {
 	return field.Each(b, func(at protowire.Number, _ uint64, x []byte) bool {
 		if at != 9 {
 			return true
 		}
-		var v [7]uint64
+		var v [6]uint64
 		zone := ""
 		err := field.Each(x, func(at protowire.Number, n uint64, y []byte) bool {
 			if at == 1 {
@@ -83,11 +83,11 @@
 			}
 			return len(y) <= longest
 		})
-		room, used := math.Float64frombits(v[5]), math.Float64frombits(v[6])
-		if err != nil || zone == "" || max(v[2], v[3], v[4]) > math.MaxInt32 || v[3] > v[2] || !(room >= 0 && room < 1e12 && used >= 0 && used < 1e12) {
+		room, used := math.Float64frombits(v[4]), math.Float64frombits(v[5])
+		if err != nil || zone == "" || v[2] > math.MaxInt32 || v[3] > v[2] || !(room >= 0 && room < 1e12 && used >= 0 && used < 1e12) {
 			return false
 		}
-		f(zone, int(v[2]), int(v[3]), int(v[4]), room, used)
+		f(zone, int(v[2]), int(v[3]), room, used)
 		return true
 	})
 }
--- a/internal/serve/zones.go
+++ b/internal/serve/zones.go
@@ -114,13 +114,7 @@
 	if home == book.Closed {
 		s.countOwn(nodes)
 	}
-	mates := 0
-	for _, p := range view.Book.Processes() {
-		if !p.Out && p.Zone == v.reach.Own {
-			mates++
-		}
-	}
-	parts := v.reach.Look(now, view.Book, sure, v.sums, 0, v.own, mates)
+	parts := v.reach.Look(now, view.Book, sure, v.sums, 0, v.own, view.Book.Acting(v.reach.Own))
 	if !maps.Equal(parts, v.parts) || sure != v.sure || v.reach.Level() != v.level {
 		s.log.Info().Str("mode", "zones").Interface("parts", parts).Bool("sure", sure).Int("level", v.reach.Level()).Uint64("version", view.Book.Version()).
 			Float64("unix_ms", now+float64(outside.Epoch.UnixMilli())).Msg("sends to")
