A soft end of a connection loses no answer; a door lets in who waits, then closes

Now a soft end closes this side alone, reads on to the peer's end or for a second (so many at once), then closes; the door's own goroutine takes all that wait, then closes it; a peer that takes some is waited for. Conn.Left tells by the kernel that a peer has gone while what it sent before lies unread. A prompt connection holds memory for reading only while there is something to be read.

--- a/internal/lab/sim/net.go
+++ b/internal/lab/sim/net.go
@@ -142,6 +142,7 @@
 	shut  bool // ended here
 	why   error
 	gone  bool // over, or its process is
+	left  bool // the other end's close has come, though what lies before it may be unread
 	half  bool // the other end is gone and this one was not told
 	stall float64
 	early []func() // what came before it was begun
@@ -205,6 +206,9 @@
 	return true
 }
 
+// Left tells whether the other end's close has come.
+func (x *conn) Left() bool { return x.left || x.gone }
+
 // count has this end know what was handed over: who has a writer of its own hears of it in its turn.
 func (x *conn) count() {
 	if x.p.core == nil || x.p.Prompt {
@@ -370,6 +374,7 @@
 			c.at(nil, max(c.now+probe, far.stall), close)
 			return
 		}
+		far.left = true
 		far.in(func() {
 			if !far.shut {
 				far.peer.Heard(nil)
--- a/internal/outside/outside.go
+++ b/internal/outside/outside.go
@@ -58,6 +58,8 @@
 // Door is a listener.
 type Door interface {
 	Address() string
+	// Close has nobody come any more, once all have been given over who were let in before: closed on them they would be reset,
+	// with what they sent.
 	Close()
 }
 
@@ -82,7 +84,12 @@
 	// Unsend takes back the message that was sent last, of n bytes, the last of which was the sent-th, if none of it was
 	// handed over.
 	Unsend(sent uint64, n int) bool
-	// End ends it: first what waits is handed over, if soft, then the last words, as far as the peer still listens.
+	// Left tells whether the peer has closed its side, or broken the connection, though what it sent before may still lie
+	// unread. It says no where that can't be known.
+	Left() bool
+	// End ends it: first what waits is handed over, if soft, then the last words, as far as the peer still listens. A soft
+	// end destroys nothing that was handed over: what the peer still sends is read and dropped until it closes as well, or
+	// for a while.
 	End(soft bool, last []byte)
 }
 
--- a/internal/outside/real.go
+++ b/internal/outside/real.go
@@ -8,11 +8,14 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Real is the world of sockets and of the machine's clock.
@@ -25,6 +28,9 @@
 	// leaves later than it was decided; a writer is there only for what is left. Without it writers gather what is sent in a
 	// moment, which costs less where many messages share a connection. Not for TLS.
 	Prompt bool
+	// Lingers is how many connections that ended softly are kept at most until their peers close too, 64 if it is 0. Beyond
+	// that the oldest of them is closed for good.
+	Lingers int
 
 	start  time.Time
 	base   float64
@@ -38,6 +44,7 @@
 	doors  map[*door]bool
 	ports  map[*port]bool
 	conns  map[*conn]bool
+	linger []*conn // ended softly and not closed, in the order of their ends
 }
 
 // NewReal begins a world. Its clock is told by the wall once, from then on by the monotonic clock alone.
@@ -68,6 +75,7 @@
 	}
 	for c := range conns {
 		c.End(false, nil)
+		c.c.Close() // one that lingers too
 	}
 	for p := range ports {
 		p.c.Close()
@@ -214,13 +222,35 @@
 }
 
 type door struct {
-	r *Real
-	l net.Listener
+	r       *Real
+	l       *net.TCPListener
+	closing atomic.Bool
 }
 
 func (d *door) Address() string { return d.l.Addr().String() }
 
+// Close has the door's goroutine let in who waits, then close it.
 func (d *door) Close() {
+	d.closing.Store(true)
+	_ = d.l.SetDeadline(time.Unix(1, 0)) // wakes it
+}
+
+// Bounds of letting in who waits at a door that closes.
+const (
+	lastCome = 2 * time.Millisecond // nobody came for so long: nobody waits
+	lastAll  = 100 * time.Millisecond
+)
+
+// last lets in all who wait already, then closes the door.
+func (d *door) last(in func(net.Conn)) {
+	for end := time.Now().Add(lastAll); time.Now().Before(end); {
+		_ = d.l.SetDeadline(time.Now().Add(lastCome))
+		c, err := d.l.Accept()
+		if err != nil {
+			break
+		}
+		in(c)
+	}
 	d.r.mu.Lock()
 	delete(d.r.doors, d)
 	d.r.mu.Unlock()
@@ -234,19 +264,32 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &door{r, l}
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		l.Close()
+		return nil, fmt.Errorf("%s: not a TCP address", address)
+	}
+	d := &door{r: r, l: tcp}
 	r.mu.Lock()
 	r.doors[d] = true
 	r.mu.Unlock()
 	under := &shaking{}
+	in := func(c net.Conn) {
+		if r.Secure != nil {
+			r.shake(c, under, came)
+		} else {
+			came(r.conn(c))
+		}
+	}
 	r.goes(func() {
 		for {
-			c, err := l.Accept()
+			c, err := d.l.Accept()
 			switch {
-			case err == nil && r.Secure != nil:
-				r.shake(c, under, came)
 			case err == nil:
-				came(r.conn(c))
+				in(c)
+			case d.closing.Load():
+				d.last(in)
+				return
 			case errors.Is(err, net.ErrClosed) || r.ctx.Err() != nil:
 				return
 			default:
@@ -319,17 +362,18 @@
 	stuck time.Duration
 	raw   syscall.RawConn // where it is prompt
 
-	mu     sync.Mutex
-	begun  bool
-	writes bool // a writer is there
-	queue  []byte
-	sent   uint64
-	handed uint64 // taken by the network
-	inHand int    // with the writer: the network may have taken it already
-	shut   bool
-	soft   bool
-	last   []byte
-	why    error
+	mu      sync.Mutex
+	begun   bool
+	writes  bool // a writer is there
+	queue   []byte
+	sent    uint64
+	handed  uint64 // taken by the network
+	inHand  int    // with the writer: the network may have taken it already
+	shut    bool
+	soft    bool
+	last    []byte
+	why     error
+	lingers bool // half closed: its peer is waited for
 }
 
 func (r *Real) conn(c net.Conn) *conn {
@@ -348,11 +392,24 @@
 	return n
 }
 
-const readAtOnce = 4096
+// Bytes that are read at once. A prompt connection holds memory for them only while something is there to be read, and reads
+// more: news of a peer that wants an ask no more is not to lie behind what it makes stale.
+const (
+	readAtOnce = 4096
+	readPrompt = 16 << 10
+)
 
 // farewell is how long last words may take.
 const farewell = 50 * time.Millisecond
 
+// Bounds of connections that ended softly and wait for their peers to close too.
+const (
+	lingerFor  = time.Second
+	mostLinger = 64
+)
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, readPrompt); return &b }}
+
 func (c *conn) Begin(p Peer, stuck float64) {
 	c.mu.Lock()
 	c.begun, c.stuck = true, time.Duration(stuck*1e6)
@@ -363,40 +420,146 @@
 		err := c.read(p)
 		c.stop(false, nil, err)
 		<-c.wrote
-		c.r.mu.Lock()
-		delete(c.r.conns, c)
-		c.r.mu.Unlock()
 		c.mu.Lock()
 		err = c.why
 		c.mu.Unlock()
 		p.Over(err)
+		c.drain()
+		c.c.Close()
+		c.r.mu.Lock()
+		delete(c.r.conns, c)
+		c.r.mu.Unlock()
 	})
 	if !ok {
 		c.c.Close()
 	}
 }
 
+// read hands over what comes until the connection ends.
 func (c *conn) read(p Peer) error {
-	b := make([]byte, readAtOnce)
-	for {
-		n, err := c.c.Read(b)
-		c.mu.Lock()
-		shut := c.shut
-		c.mu.Unlock()
-		if shut {
-			return ErrEnded
-		}
-		if n > 0 {
-			p.Heard(b[:n])
+	if c.raw == nil {
+		b := make([]byte, readAtOnce)
+		for {
+			n, err := c.c.Read(b)
+			if err = c.took(p, b[:n], err); err != nil {
+				return err
+			}
 		}
+	}
+	for {
+		held, n, err := c.readable()
+		err = c.took(p, (*held)[:n], err)
+		buffers.Put(held)
 		if err != nil {
-			if errors.Is(err, io.EOF) {
-				p.Heard(nil)
-				return io.EOF
+			return err
+		}
+	}
+}
+
+// readable waits for something to read, and reads it into memory that is to be given back.
+func (c *conn) readable() (held *[]byte, n int, err error) {
+	waited := c.raw.Read(func(fd uintptr) bool {
+		held = buffers.Get().(*[]byte)
+		for {
+			n, err = syscall.Read(int(fd), *held)
+			if err != syscall.EINTR {
+				break
 			}
-			return fmt.Errorf("read: %w", err)
 		}
+		if err == syscall.EAGAIN {
+			buffers.Put(held)
+			held = nil
+		}
+		return held != nil
+	})
+	if held == nil { // woken by an end
+		held, n, err = buffers.Get().(*[]byte), 0, waited
+	}
+	n = max(n, 0)
+	if err == nil && n == 0 {
+		err = io.EOF
 	}
+	return held, n, err
+}
+
+// took hands over what was read; an error says that nothing more is.
+func (c *conn) took(p Peer, b []byte, err error) error {
+	c.mu.Lock()
+	shut := c.shut
+	c.mu.Unlock()
+	if shut {
+		return ErrEnded
+	}
+	if len(b) > 0 {
+		p.Heard(b)
+	}
+	if errors.Is(err, io.EOF) {
+		p.Heard(nil)
+		return io.EOF
+	}
+	if err != nil {
+		return fmt.Errorf("read: %w", err)
+	}
+	return nil
+}
+
+// drain reads on from a connection that ended softly, until its peer closes too: closed with bytes unread it would be reset,
+// and what was handed over last could be lost to the peer.
+func (c *conn) drain() {
+	c.mu.Lock()
+	lingers := c.lingers
+	c.mu.Unlock()
+	if !lingers || !c.r.lingering(c) {
+		return
+	}
+	held := buffers.Get().(*[]byte)
+	defer buffers.Put(held)
+	_ = c.c.SetReadDeadline(time.Now().Add(lingerFor))
+	for {
+		if _, err := c.c.Read(*held); err != nil {
+			break
+		}
+	}
+	c.r.mu.Lock()
+	if i := slices.Index(c.r.linger, c); i >= 0 {
+		c.r.linger = slices.Delete(c.r.linger, i, i+1)
+	}
+	c.r.mu.Unlock()
+}
+
+// lingering notes a connection that waits for its peer to close; false if the world is closed.
+func (r *Real) lingering(c *conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return false
+	}
+	most := r.Lingers
+	if most == 0 {
+		most = mostLinger
+	}
+	if len(r.linger) >= most {
+		r.linger[0].c.Close()
+		r.linger = slices.Delete(r.linger, 0, 1)
+	}
+	r.linger = append(r.linger, c)
+	return true
+}
+
+// Left asks the kernel: it knows of a peer's end whatever lies unread before it.
+func (c *conn) Left() bool {
+	c.mu.Lock()
+	left := c.shut
+	c.mu.Unlock()
+	if c.raw == nil || left {
+		return left
+	}
+	err := c.raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		left = err == nil && n == 1 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return left || err != nil // one that is closed already
 }
 
 // write is the writer: it writes what is sent until the connection ends, or, where that is prompt, until nothing is left.
@@ -417,10 +580,10 @@
 		}
 		c.mu.Unlock()
 		if shut {
-			if soft {
-				_ = c.hand(b)
+			if soft && c.hand(b) != nil {
+				soft = false
 			}
-			c.close(last)
+			c.close(soft, last)
 			return
 		}
 		if len(b) == 0 {
@@ -437,18 +600,30 @@
 	}
 }
 
-// hand hands bytes to the kernel and counts those it took.
+// hand hands bytes to the kernel and counts those it took. A peer that takes some is waited for, however slow it is; once
+// the connection is being ended, no longer than one that takes nothing.
 func (c *conn) hand(b []byte) error {
-	_ = c.c.SetWriteDeadline(time.Now().Add(c.stuck))
-	n, err := c.c.Write(b)
-	c.mu.Lock()
-	c.handed += uint64(n)
-	c.inHand = 0
-	c.mu.Unlock()
-	if err != nil {
-		return fmt.Errorf("write: %w", err)
+	for {
+		_ = c.c.SetWriteDeadline(time.Now().Add(c.stuck))
+		n, err := c.c.Write(b)
+		b = b[n:]
+		slow := n > 0 && errors.Is(err, os.ErrDeadlineExceeded)
+		c.mu.Lock()
+		c.handed += uint64(n)
+		c.inHand = 0
+		slow = slow && !c.shut
+		if slow {
+			c.inHand = len(b)
+		}
+		c.mu.Unlock()
+		if slow {
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("write: %w", err)
+		}
+		return nil
 	}
-	return nil
 }
 
 // push hands over what the network takes at once. c.mu is held and there is no writer.
@@ -470,13 +645,20 @@
 	}
 }
 
-// close says the last words, as far as the peer listens, and closes the connection.
-func (c *conn) close(last []byte) {
+// close says the last words, as far as the peer listens, and closes the connection; this side of it alone, where it ends
+// softly and its reader can wait for the peer.
+func (c *conn) close(soft bool, last []byte) {
 	if len(last) > 0 {
 		_ = c.c.SetWriteDeadline(time.Now().Add(farewell))
 		_, _ = c.c.Write(last) // the peer may be gone: then nobody is left to be told
 	}
-	c.c.Close()
+	if half, ok := c.c.(interface{ CloseWrite() error }); ok && soft && half.CloseWrite() == nil {
+		c.mu.Lock()
+		c.lingers = true
+		c.mu.Unlock()
+	} else {
+		c.c.Close()
+	}
 	close(c.wrote)
 }
 
@@ -541,7 +723,7 @@
 		delete(c.r.conns, c)
 		c.r.mu.Unlock()
 	case first && !writes:
-		c.close(last)
+		c.close(soft, last)
 	}
 	c.rouse()
 }
