--- a/internal/decide/tail/tail.go
+++ b/internal/decide/tail/tail.go
@@ -6,6 +6,7 @@
 // Times in milliseconds.
 const (
 	silent  = 1900 // the count comes every second
+	whole   = 3800 // and one that trickles is taken for silent when it has told no whole line for so long
 	first   = 30   // before it is asked again after a break
 	longest = 500
 	reach   = 1000 // to connect
@@ -17,7 +18,10 @@
 	asking, linked bool
 	fails          int
 	at             float64 // the next time to ask
-	heard          float64
+	heard          float64 // the last line that could be read, on any connection
+	since          float64 // the last such line on this one, or when it was made
+	came           float64 // the last byte on this one, or when it was made
+	told           bool    // it has told a line
 }
 
 // Ask tells whether to connect now; it counts as under way then.
@@ -30,14 +34,21 @@
 }
 
 // Linked says that the connection is made.
-func (w *Watch) Linked(now float64) { w.asking, w.linked, w.heard = false, true, now }
+func (w *Watch) Linked(now float64) {
+	w.asking, w.linked, w.told, w.since, w.came = false, true, false, now, now
+}
+
+// Came says that something came, which need not be a whole line.
+func (w *Watch) Came(now float64) { w.came = now }
 
 // Heard says that a line came that could be read.
-func (w *Watch) Heard(now float64) { w.heard, w.fails = now, 0 }
+func (w *Watch) Heard(now float64) {
+	w.heard, w.since, w.came, w.told, w.fails = now, now, now, true, 0
+}
 
 // Broke says that the connection is no more, or was not made.
 func (w *Watch) Broke(now float64) {
-	w.asking, w.linked = false, false
+	w.asking, w.linked, w.told = false, false, false
 	w.at = now + min(first*float64(int(1)<<min(w.fails, 6)), longest)
 	w.fails++
 }
@@ -46,13 +57,15 @@
 func (w *Watch) Moved(now float64) { *w = Watch{at: now, heard: w.heard} }
 
 // Silent tells whether the connection is to be given up.
-func (w *Watch) Silent(now float64) bool { return w.linked && now-w.heard > silent }
+func (w *Watch) Silent(now float64) bool {
+	return w.linked && (now-w.came > silent || now-w.since > whole)
+}
 
-// Live tells whether the service is heard as it should be.
-func (w *Watch) Live(now float64) bool { return w.linked && w.heard > 0 && now-w.heard <= silent }
+// Live tells whether the service is heard as it should be: a connection that has told nothing yet may lack any number of events.
+func (w *Watch) Live(now float64) bool { return w.linked && w.told && now-w.heard <= silent }
 
 // Failing tells whether a call for news is to be answered as failed.
-func (w *Watch) Failing(now float64) bool { return !w.linked && now-w.heard > failing }
+func (w *Watch) Failing(now float64) bool { return !w.Live(now) && now-w.heard > failing }
 
 // Reach is how long a connection may take.
 func Reach() float64 { return reach }
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -184,7 +184,9 @@
 		t.end(now)
 		return
 	}
+	s.feed.watch.Came(now)
 	t.in = append(t.in, b...)
+	took := false
 	for {
 		line, rest, whole := bytes.Cut(t.in, []byte("\n"))
 		if !whole {
@@ -196,13 +198,15 @@
 			return
 		}
 		s.feed.watch.Heard(now)
-		t.in = rest
+		t.in, took = rest, true
 	}
 	if len(t.in) > longLine {
 		t.end(now)
 		return
 	}
-	t.in = append([]byte(nil), t.in...)
+	if took { // what is left gets memory of its own; a line that trickles in is not copied for each byte
+		t.in = append([]byte(nil), t.in...)
+	}
 	s.wake()
 }
 
