Settings with an odd field end the start with one line that names it

Seen by a walk over each place of a settings object, with absent, empty, zero, negative, huge and strange values: an absent mean size made every allocation a large one (division by 0), a huge time wrapped to a negative wait, an unknown word for how news comes was taken for "pushed" (the laboratory's own settings said so), no attempts, no room and two job types of one name started a scheduler that served nobody, and a type error printed our whole type.

What the simulator never needs (connections, names, deadlines, room) is asked for on sockets alone. TestOddFields: 9 values at each place.

--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -11,7 +11,7 @@
 )
 
 const factsText = `{"instances": 1, "discovery": "push", "new-key": [1], "step-ns": 2000000,
- "family-info": {"cores-multiple": 2, "memory-multiple": 1.5, "cpu-of-kind": [32], "mem-of-kind": [64],
+ "family-info": {"unit-cores": 1, "mean-memory": 2, "cores-multiple": 2, "memory-multiple": 1.5, "cpu-of-kind": [32], "mem-of-kind": [64],
   "kind-by-class": [-1], "spread-over": ["silent"], "lists-free": true, "cold-bears": 10},
  "policy-limits": {"max-attempts": 3, "probes": true, "cancel": true},
  "report": {"fields": ["x0", "x1"], "how": "piggyback"},
--- /dev/null
+++ b/internal/facts/facts_test.go
@@ -0,0 +1,164 @@
+package facts
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"ravenpond/logic"
+)
+
+const settings = `{"instances": 2, "self-index": 1, "discovery": "ask", "step-ns": 2000000, "kinds": ["std", "big"], "zones": ["east", "west"],
+ "projects": [{"name": "acme", "portion": 0.5}, {"name": "club", "portion": 0.4}],
+ "family-info": {"cores-multiple": 2, "memory-multiple": 1.5, "cpu-of-kind": [32, 64], "mem-of-kind": [64, 128], "kind-by-class": [-1, 1, 0],
+  "spread-over": ["silent", "machine", "zone"], "most-together": [1, 2, 3], "lists-free": true, "cold-bears": 20, "unit-cores": 1, "mean-memory": 2,
+  "settle-ns": 1500000000, "measured-by": "asked", "displaces": false},
+ "policy-limits": {"max-attempts": 4, "probes": true, "cancel": true, "conn-idle-ns": 30000000000, "connect-timeout-ns": 250000000,
+  "open-cap": 1000000},
+ "prices": {"fleet": 0.1},
+ "report": {"fields": ["x0", "x1"], "how": "piggyback"},
+ "rules": {"cold-ns": 9000000000, "overload-for-ns": 2000000000, "ask-every-ns": 10000000000},
+ "services": [
+  {"name": "batch", "aim-ns": 700000000, "deadline-ns": 2500000000, "effect": "free", "worth": 1, "group": "all", "window-ns": 1000000},
+  {"name": "marked", "aim-ns": 700000000, "deadline-ns": 2500000000, "effect": "guarded", "worth": 1, "group": "zone", "window-ns": 8000000000},
+  {"name": "single", "aim-ns": 700000000, "deadline-ns": 2500000000, "effect": "single_shot", "worth": 1, "group": "all", "window-ns": 1000000}]}`
+
+// quiet is a host that only listens.
+type quiet struct{ offers int }
+
+func (q *quiet) Offer(uint32, uint32, float64) { q.offers++ }
+func (q *quiet) Decline(uint32, float64)       {}
+func (q *quiet) Fail(uint32)                   {}
+func (q *quiet) Recall(uint32, uint8)          {}
+func (q *quiet) Move(uint32)                   {}
+func (q *quiet) Probe(uint32)                  {}
+func (q *quiet) Follow(bool)                   {}
+func (q *quiet) Reload()                       {}
+func (q *quiet) Wake(float64, uint64)          {}
+func (q *quiet) Log(string)                    {}
+
+// play has a module of a deployment place some work.
+func play(d *Deployment) (offers int) {
+	q := &quiet{}
+	now := 1e6
+	s := logic.New(q, now, 7, d.Cluster)
+	s.ListBegin(now, logic.ListCached)
+	for i := range 6 {
+		s.ListNode(now, uint32(10+i), logic.Ready, float64(i%2)*now, 30, 60, i%2, i, i%len(d.Cluster.KindCores))
+	}
+	s.ListEnd(now)
+	for i := range 30 {
+		j := i % len(d.JobTypes)
+		now += 300
+		s.Allocate(now, uint32(i), j, 0, now+d.Expiry[j], uint64(i%3), 1, 2)
+		s.Decide(now)
+		s.Woken(now, 0)
+		s.Decide(now)
+	}
+	return q.offers
+}
+
+// leaves gives every place in a settings object, as a path of keys and numbers.
+func leaves(v any, at []any, each func([]any)) {
+	switch x := v.(type) {
+	case map[string]any:
+		for k, y := range x {
+			each(append(slices.Clone(at), k))
+			leaves(y, append(slices.Clone(at), k), each)
+		}
+	case []any:
+		for i, y := range x {
+			each(append(slices.Clone(at), i))
+			leaves(y, append(slices.Clone(at), i), each)
+		}
+	}
+}
+
+// with gives a settings object in which one place holds something else; nil takes the place out.
+func with(t *testing.T, path []any, to any) []byte {
+	var all any
+	if err := json.Unmarshal([]byte(settings), &all); err != nil {
+		t.Fatal(err)
+	}
+	here := all
+	for i, k := range path {
+		last := i == len(path)-1
+		switch x := here.(type) {
+		case map[string]any:
+			if last && to == nil {
+				delete(x, k.(string))
+			} else if last {
+				x[k.(string)] = to
+			}
+			here = x[k.(string)]
+		case []any:
+			if last && to != nil {
+				x[k.(int)] = to
+			}
+			here = x[k.(int)]
+		}
+	}
+	text, err := json.Marshal(all)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// means are fields that may be absent or 0, and what that means.
+var means = map[string]string{
+	"self-index": "the first", "kinds": "kinds have no names", "zones": "there are none", "projects": "there are none", "portion": "no part",
+	"kind-by-class": "any kind", "spread-over": "anywhere", "most-together": "one", "lists-free": "no", "cold-bears": "nothing goes to a cold node",
+	"settle-ns": "no time", "measured-by": "asked", "displaces": "no", "probes": "no", "cancel": "no", "prices": "none", "fleet": "no price", "report": "none",
+	"fields": "none", "how": "none", "rules": "nodes are never cold, and news is pushed", "cold-ns": "nodes are never cold",
+	"overload-for-ns": "no window", "ask-every-ns": "where news is pushed", "worth": "nothing", "window-ns": "no repeat", "group": "where it is not guarded",
+}
+
+// TestOddFields puts an absent, empty, zero, negative, huge or strange value in each place of a settings object. Each ends the start with
+// one line that names its field, or has a meaning that is written down, with which a module places work and does not panic.
+func TestOddFields(t *testing.T) {
+	if d, err := Read([]byte(settings)); err != nil || play(d) == 0 {
+		t.Fatalf("%v: the settings as they are place nothing", err)
+	}
+	var all any
+	if err := json.Unmarshal([]byte(settings), &all); err != nil {
+		t.Fatal(err)
+	}
+	tried := 0
+	leaves(all, nil, func(path []any) {
+		field := ""
+		for _, k := range path {
+			if name, ok := k.(string); ok {
+				field = name
+			}
+		}
+		for _, to := range []any{nil, 0.0, -1.0, 1e300, "", "odd", []any{}, map[string]any{}, true} {
+			tried++
+			d, err := Read(with(t, path, to))
+			if err == nil {
+				err = d.OnSockets()
+			}
+			what := fmt.Sprintf("%v = %v", path, to)
+			if err != nil {
+				if s := err.Error(); strings.Contains(s, "\n") || !strings.Contains(s, field) && !strings.Contains(s, path[0].(string)) {
+					t.Errorf("%s: %q does not name the field", what, s)
+				}
+				continue
+			}
+			if n, isNumber := to.(float64); isNumber && (n < 0 || n > 1e9) && field != "kind-by-class" && field != "fleet" {
+				t.Errorf("%s is taken", what)
+			}
+			if to == nil || to == 0.0 {
+				if _, index := path[len(path)-1].(int); means[field] == "" && !index {
+					t.Errorf("%s is taken, and nothing says what it means", what)
+				}
+			}
+			play(d)
+		}
+	})
+	if tried < 300 {
+		t.Errorf("%d values tried", tried)
+	}
+}
--- a/internal/lab/route/route.go
+++ b/internal/lab/route/route.go
@@ -40,7 +40,7 @@
 	comeFor = 400 // and so long they make new ones
 )
 
-const facing = `{"instances": %d, "self-index": %d, "discovery": "told", "step-ns": 2000000, "kinds": ["std"], "zones": ["east", "west"],
+const facing = `{"instances": %d, "self-index": %d, "discovery": "push", "step-ns": 2000000, "kinds": ["std"], "zones": ["east", "west"],
  "projects": [{"name": "acme", "portion": 1}],
  "policy-limits": {"cancel": true, "max-attempts": 4, "probes": true, "conn-idle-ns": 4000000000, "connect-timeout-ns": 500000000, "open-cap": 500},
  "family-info": {"cores-multiple": 2, "memory-multiple": 1.5, "cpu-of-kind": [16], "mem-of-kind": [32], "kind-by-class": [-1, -1, -1],
--- a/internal/platform/charter.go
+++ b/internal/platform/charter.go
@@ -39,6 +39,12 @@
 	return c, nil
 }
 
+// Bounds of the limits that a scheduler can keep: below them there is no room for an owner, a node and the journal service.
+const (
+	leastMB, mostMB           = 8, 1 << 20
+	leastSockets, mostSockets = 32, 1 << 24
+)
+
 // Read reads it from its text.
 func Read(text []byte) (*Charter, error) {
 	var f struct {
@@ -63,8 +69,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("seed: %w", err)
 	}
-	if f.Limits.MemoryMB <= 0 || f.Limits.Sockets <= 0 {
-		return nil, fmt.Errorf("limits: %d MB of memory, %d sockets", f.Limits.MemoryMB, f.Limits.Sockets)
+	if f.Limits.MemoryMB < leastMB || f.Limits.MemoryMB > mostMB || f.Limits.Sockets < leastSockets || f.Limits.Sockets > mostSockets {
+		return nil, fmt.Errorf("limits: %d MB of memory (memory_mb, from %d to %d), %d sockets (from %d to %d)", f.Limits.MemoryMB, leastMB, mostMB,
+			f.Limits.Sockets, leastSockets, mostSockets)
 	}
 	if len(f.Known) == 0 || len(f.Settings) == 0 {
 		return nil, fmt.Errorf("known: %d bytes, settings: %d bytes: both are needed", len(f.Known), len(f.Settings))
@@ -73,6 +80,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if err := known.OnSockets(); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
 	return &Charter{Name: f.Name, Listen: f.Listen, Journal: f.Journal, Seed: seed, Cores: f.Limits.Cores,
 		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: known, Events: f.Known}, nil
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -966,8 +966,12 @@
 		{`"listen":"10.0.0.4:5060",`, ``, "listen"},
 		{`"8c1f30d27a5be964"`, `"xyz"`, "seed"},
 		{`"sockets":256`, `"sockets":0`, "limits"},
+		{`"sockets":256`, `"sockets":31`, "sockets"},
+		{`"memory_mb":64`, `"memory_mb":1e9`, "memory_mb"},
+		{`"conn-idle-ns": 30000000000`, `"conn-idle-ns": 0`, "conn-idle-ns"},
+		{`"name": "marked"`, `"name": "batch"`, "services 1 name"},
 		{`"known":{"pos":0,"entries":[]},`, ``, "known"},
-		{`"effect": "free"`, `"effect": "odd"`, `settings: unknown word "odd"`},
+		{`"effect": "free"`, `"effect": "odd"`, `settings: services 0 (batch) effect: unknown word "odd"`},
 		{`{"name"`, `{`, "invalid"},
 	} {
 		if _, err := Read([]byte(strings.Replace(good, x.old, x.new, 1))); err == nil || !strings.Contains(err.Error(), x.want) {
