--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/rs/zerolog"
 
-	"ravenpond/internal/facts"
 	"ravenpond/internal/lab/sim"
 	"ravenpond/internal/outside"
 	codec "ravenpond/internal/proto/platform"
@@ -47,7 +46,10 @@
 )
 
 // begin starts a scheduler that knows the nodes with these names, at addresses of the same names.
-func begin(t *testing.T, names ...string) *rig {
+func begin(t *testing.T, names ...string) *rig { return beginAt(t, settings, entryOf, names...) }
+
+// beginAt starts one on other settings, with entries of the list as they want them.
+func beginAt(t *testing.T, settings string, entryOf func(name, address, status string) string, names ...string) *rig {
 	r := &rig{t: t, c: sim.NewClock(7), nodes: map[string]*node{}}
 	r.sched, r.owners = r.c.NewProcess("scheduler"), r.c.NewProcess("owners")
 	r.journal = newJournal(r, "journal:1")
@@ -58,12 +60,12 @@
 	}
 	first := event(1, true, all...)
 	r.journal.events = []string{first}
-	known, err := facts.Read([]byte(settings))
+	c, err := Read([]byte(`{"name":"n0","listen":"scheduler:1","journal":"journal:1","seed":"3","limits":{"cores":1,"memory_mb":64,"sockets":256},` +
+		`"known":{"pos":1,"entries":[` + first + `]},"settings":` + settings + `}`))
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.charter = &Charter{Name: "n0", Listen: door, Journal: "journal:1", Seed: 3, MemoryMB: 64, Sockets: 256, Known: known,
-		Events: []byte(`{"pos":1,"entries":[` + first + `]}`)}
+	r.charter = c
 	r.start()
 	r.pass(3000) // a scheduler that has just begun leaves new nodes alone
 	return r
--- /dev/null
+++ b/internal/platform/sites_test.go
@@ -0,0 +1,197 @@
+package platform
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"ravenpond/internal/facts"
+	codec "ravenpond/internal/proto/platform"
+	"ravenpond/logic"
+)
+
+// TestCustomers plays a small day of each customer in deploy/sites, by settings as the bench hands them over: names, deadlines, tenants
+// and zones are theirs. Nodes drain, go, come cold and crash, the journal service is silent for a while, owners leave, and the scheduler
+// is told to end. Each owner that stays hears once, in time; nothing has effect twice; drains are kept.
+func TestCustomers(t *testing.T) {
+	files, err := filepath.Glob("../../deploy/sites/*/settings.json")
+	if err != nil || len(files) < 2 {
+		t.Fatalf("%d customers, %v", len(files), err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(filepath.Dir(file)), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			customerDay(t, string(text))
+		})
+	}
+}
+
+func customerDay(t *testing.T, text string) {
+	known, err := facts.Read([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rng := rand.New(rand.NewPCG(5, 6))
+	cold := map[string]float64{}
+	entry := func(name, address, status string) string {
+		i := int(name[1] - '0')
+		return fmt.Sprintf(`{"name":%q,"address":%q,"zone":%q,"type":%q,"group":%d,"status":%q,"since_ms":%.0f,"room":[24,48]}`, name, address,
+			known.Zones[i%len(known.Zones)], known.Kinds[i%len(known.Kinds)], i, status, cold[name])
+	}
+	r := beginAt(t, text, entry, "s0", "s1", "s2", "s3", "s4", "s5")
+	type request struct {
+		x           *client
+		job         int
+		until       float64
+		left, heard bool
+		starts      int
+		barred      bool // one may have run: no other may follow
+	}
+	all := map[uint64]*request{}
+	began := r.c.True()
+	drains := map[string]float64{}
+	serve := func(n *node) {
+		n.does = func(e *ear, task uint64) {
+			a := all[task]
+			a.starts++
+			if at, ok := drains[n.name]; ok && r.c.True() > at+500+50 {
+				t.Errorf("%s was sent %d %g ms after it was told to drain", n.name, task, r.c.True()-at)
+			}
+			if known.Cluster.JobTypes[a.job].Effect == logic.RunOnce && a.barred {
+				t.Errorf("%d, which may have run, is tried again", task)
+			}
+			if rng.IntN(8) == 0 {
+				e.send(codec.AppendEnd(nil, task, codec.Full))
+				return
+			}
+			a.barred = true
+			n.p.After(20+40*rng.Float64(), func() {
+				n.answer(e, task)
+				n.p.After(1500, func() {
+					if n.stands[task] {
+						delete(n.stands, task)
+						e.send(codec.AppendEnd(nil, task, codec.Normal))
+					}
+				})
+			})
+		}
+	}
+	for _, n := range r.nodes {
+		serve(n)
+	}
+	var task uint64
+	x := r.dial()
+	ask := func() {
+		task++
+		job := rng.IntN(len(known.JobTypes))
+		more := []any{codec.Left, fmt.Sprint(int(known.Expiry[job]))}
+		if len(known.Tenants) > 0 {
+			more = append(more, codec.Tenant, known.Tenants[rng.IntN(len(known.Tenants))])
+		}
+		b := setUp(task, known.JobTypes[job], more...)
+		if len(known.Tenants) == 0 { // a customer without tenants names none
+			b = message(codec.SetUp, task, codec.JobType, known.JobTypes[job], codec.Left, fmt.Sprint(int(known.Expiry[job])), codec.Name,
+				fmt.Sprintf("%016x", task), codec.Key, strings.Repeat("5c", 16), codec.Figures, asked, codec.Description, "owner's")
+		}
+		a := &request{x: x, job: job, until: r.c.True() + known.Expiry[job]}
+		all[task] = a
+		x.send(b)
+		if rng.IntN(15) == 0 { // it leaves with all that is open
+			y := x
+			r.c.At(r.c.True()+60*rng.Float64(), func() {
+				for _, o := range all {
+					o.left = o.left || o.x == y && !o.heard
+				}
+				y.conn.End(true, nil)
+			})
+			x = r.dial()
+		}
+	}
+	tell := func(name, status string) { r.journal.happens(entry(name, name, status)) }
+	at := func(ms float64, f func()) { r.c.At(began+ms, f) }
+	at(4000, func() { tell("s0", "draining"); drains["s0"] = r.c.True() })
+	at(6000, func() { tell("s0", "gone") })
+	at(5000, func() {
+		cold["s6"] = r.sched.Now() + unixBase
+		serve(newNode(r, "s6", "s6"))
+		tell("s6", "ready")
+	})
+	at(8000, func() { r.nodes["s1"].p.Kill(false); tell("s1", "gone") })
+	at(9000, func() { r.journal.mute = true })
+	at(12000, func() { r.journal.mute = false })
+	hears := func() { // what the clients got
+		for _, a := range all {
+			for i, got := range a.x.got {
+				var id uint64
+				var word string
+				fmt.Sscanf(got, "%d %s", &id, &word)
+				o := all[id]
+				if o == nil || o.x != a.x || o.heard {
+					continue
+				}
+				if o.heard = true; a.x.at[i] > o.until+50 {
+					t.Errorf("%d heard %g ms late", id, a.x.at[i]-o.until)
+				}
+			}
+		}
+	}
+	for r.c.True() < began+15000 {
+		ask()
+		r.pass(40)
+	}
+	told := r.c.True()
+	r.s.Stop()
+	for range 10 { // requests come for a while yet
+		ask()
+		r.pass(50)
+	}
+	longest := 0.0
+	for _, e := range known.Expiry {
+		longest = max(longest, e)
+	}
+	for ended := false; !ended; r.pass(10) {
+		select {
+		case <-r.s.Done():
+			ended = true
+		default:
+			if r.c.True() > told+min(longest, 3000)+700 {
+				t.Fatal("it would have been killed")
+			}
+		}
+	}
+	r.pass(100)
+	hears()
+	served, count := 0, 0
+	for id, a := range all {
+		words := 0
+		for _, got := range a.x.got {
+			var g uint64
+			var word string
+			fmt.Sscanf(got, "%d %s", &g, &word)
+			if g != id {
+				continue
+			}
+			if words++; words == 1 {
+				count++
+				if word == "served" {
+					served++
+				}
+			}
+			if words > 2 || words == 2 && word != "end" && word != "move" {
+				t.Errorf("%d heard %q", id, a.x.got)
+			}
+		}
+		if words == 0 && !a.left {
+			t.Errorf("%d (%s) of an owner that stayed was never answered", id, known.JobTypes[a.job])
+		}
+	}
+	if float64(served) < 0.85*float64(count) || count < 200 {
+		t.Errorf("%d of %d served", served, count)
+	}
+}
