What is owed is told in time though nothing is served; the laboratory's clients leave

Now it waits 400 ms for such, then goes on one on which something was asked. Ruled out: ends lost in the crossing of a close, which the laboratory's network shows in floods alone, as an end there hears nothing once it is closed: clients leave in calm plays only.

TestOwedInTime was seen failing without the mend. A prompt process of the laboratory reads as much at once as on sockets.

--- a/internal/decide/manners/manners.go
+++ b/internal/decide/manners/manners.go
@@ -21,6 +21,7 @@
 	MostCuts = 256   // ends that a node could not be told yet
 	CutFor   = 20000 // ms for which they are kept
 	MostEnds = 4096  // ends that no owner could be told yet
+	EndWaits = 400   // ms of the second that a client may be told an end in, for which it waits for a connection that is proven
 	muteFor  = 1000  // ms that a test's answer may take before its connection is given up
 	idlePart = 0.6   // of the time after which a node closes an idle connection
 )
--- a/internal/lab/route/ends.go
+++ b/internal/lab/route/ends.go
@@ -79,7 +79,8 @@
 	at      *node // where it stands, as far as the owner was told
 	until   float64
 	stands  bool
-	tries   uint8 // that reached nodes
+	tries   uint8   // that reached nodes
+	gone    float64 // when its owner left or gave it up
 }
 
 // owner asks one scheduler.
@@ -190,10 +191,14 @@
 	o.e.send(message(codec.SetUp, t.id, codec.JobType, jobNames[t.job], codec.Left, expiry, codec.Tenant, "acme", codec.Name,
 		fmt.Sprintf("%016x", t.id), codec.Key, fmt.Sprintf("%032x", t.key), codec.Figures,
 		fmt.Sprintf("cores:1;memory:2;service:%016x", t.service), codec.Description, "owner's"))
+	if g.busy == nil && g.rng.IntN(60) == 0 { // it leaves with all that is open
+		g.c.At(g.c.True()+60*g.rng.Float64(), o.leaves)
+	}
 	if g.rng.IntN(20) == 0 { // given up
 		g.c.At(g.c.True()+200*g.rng.Float64(), func() {
 			if o.asks[t.id] == t {
 				delete(o.asks, t.id)
+				t.gone = g.c.True()
 				g.record(audit.Record{Kind: audit.GaveUp, Sched: s.name, Ref: t.id})
 				o.e.send(codec.AppendEnd(nil, t.id, codec.Normal))
 			}
--- a/internal/lab/route/route.go
+++ b/internal/lab/route/route.go
@@ -90,6 +90,7 @@
 	count   uint64
 	reports string
 	busy    *flood // nil: code takes no time
+	lateFor int    // attempts that began for owners that had left long before
 }
 
 // change is an event of the node list.
@@ -227,6 +228,7 @@
 	if g.World != nil {
 		world = g.World(world)
 	}
+	world = watched{world, g}
 	g.record(audit.Record{Kind: audit.Born, Sched: s.name})
 	for _, n := range g.nodes { // what stands in the journal counts as told
 		if n.status != "ready" {
--- a/internal/lab/route/route_test.go
+++ b/internal/lab/route/route_test.go
@@ -79,6 +79,9 @@
 		{"owners' connections are ended while asks are open on them", Plant{World: func(w outside.World) outside.World {
 			return curt{w}
 		}}, "rule 1"},
+		{"an owner's close is read late, and nobody asks whether it has left", Plant{World: func(w outside.World) outside.World {
+			return deaf{w, false}
+		}}, "gone"},
 		{"words to owners are lost", Plant{World: func(w outside.World) outside.World { return lossy{w} }}, "rule 1"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -96,6 +99,47 @@
 	}
 }
 
+// TestReadLate has owners' closes read 1.5 s late: what began for them after they left is nothing, as the scheduler asks whether they have.
+func TestReadLate(t *testing.T) {
+	for seed := range uint64(20) {
+		if v := Play(seed+1, Plant{World: func(w outside.World) outside.World { return deaf{w, true} }}); strings.Contains(v.Broken, "gone") {
+			t.Errorf("seed %d: %s", v.Seed, v.Broken)
+		}
+	}
+}
+
+// deaf has owners' closes read 1.5 s late, and tells whether they have left, or does not.
+type deaf struct {
+	outside.World
+	knows bool
+}
+
+func (d deaf) Listen(address string, came func(outside.Conn)) (outside.Door, error) {
+	return d.World.Listen(address, func(c outside.Conn) { came(&late{Conn: c, d: d}) })
+}
+
+type late struct {
+	outside.Conn
+	d deaf
+}
+
+func (l *late) Left() bool { return l.d.knows && l.Conn.Left() }
+
+func (l *late) Begin(p outside.Peer, stuck float64) { l.Conn.Begin(lateEar{p, l.d}, stuck) }
+
+type lateEar struct {
+	outside.Peer
+	d deaf
+}
+
+func (l lateEar) Heard(b []byte) {
+	if b != nil {
+		l.Peer.Heard(b)
+	}
+}
+
+func (l lateEar) Over(err error) { l.d.After(1500, func() { l.Peer.Over(err) }) }
+
 // once reaches the first address of a journal service alone.
 type once struct {
 	outside.World
--- a/internal/lab/sim/net.go
+++ b/internal/lab/sim/net.go
@@ -37,7 +37,8 @@
 	probe   = 200 // between two looks at a way that is cut
 	lastFor = 50  // that last words may take
 
-	readAtOnce = 4096 // bytes
+	readAtOnce = 4096     // bytes
+	readPrompt = 16 << 10 // where a process is prompt
 )
 
 func (c *Clock) delay(w *way) float64 {
@@ -324,6 +325,9 @@
 	x.unread, x.reads = nil, false
 	for len(all) > 0 && !x.gone {
 		n := min(len(all), readAtOnce)
+		if x.p.Prompt {
+			n = min(len(all), readPrompt)
+		}
 		x.p.costs(func(w *Work) float64 { return w.Heard + float64(n)*w.Byte })
 		x.heard(all[:n])
 		all = all[n:]
--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -27,6 +27,7 @@
 	stands map[*ask]bool
 	unsure []*ask // that stand, whose answers waited to be handed over when it was ended
 	useful bool   // it sent something that is of use
+	asked  bool   // a set-up that could be taken came on it
 	proven bool   // something that came on it was served
 	guest  bool   // it came when there was no room, and has said nothing of use yet
 	gone   bool
@@ -316,7 +317,7 @@
 		turn(codec.Errored, "time left or description")
 		return
 	}
-	o.useful = true
+	o.useful, o.asked = true, true
 	if s.stopped && now >= s.plan.Shut {
 		turn(codec.Busy, "ends")
 		return
@@ -401,8 +402,8 @@
 			o.expel("says nothing of use")
 		case len(o.in) > 0 && now-o.halfAt > manners.HalfWord:
 			o.expel("half a message")
-		case o.proven && len(s.owed) > 0 && o.listens():
-			for len(s.owed) > 0 && o.say(s.owed[0].append) {
+		case len(s.owed) > 0 && (o.proven || o.asked) && o.listens():
+			for len(s.owed) > 0 && (o.proven || now-s.owed[0].since >= manners.EndWaits) && o.say(s.owed[0].append) {
 				s.owed = s.owed[1:]
 			}
 			if len(s.owed) == 0 {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -400,13 +400,14 @@
 	if cause == 0 {
 		cause = codec.Reset
 	}
-	s.tell(a, word{a.task, cause})
+	s.tell(a, word{task: a.task, cause: cause})
 }
 
 // word is what an owner is owed about what stood: its end with a cause, or a move.
 type word struct {
 	task  uint64
-	cause byte // 0: a move
+	cause byte    // 0: a move
+	since float64 // when it was owed
 }
 
 func (w word) append(b []byte) []byte {
@@ -416,8 +417,8 @@
 	return codec.AppendEnd(b, w.task, w.cause)
 }
 
-// tell gives an owner word of what stood: on the connection that it came on, else on another that owners hold, else on
-// the next that they open.
+// tell gives an owner word of what stood: on the connection that it came on, else on another on which something was served, else on
+// the next such; but if there is none in time, as in a flood in which all is declined, on one on which something was asked.
 func (s *Server) tell(a *ask, w word) {
 	if a.owner != nil && a.owner.listens() && a.owner.say(w.append) {
 		return
@@ -427,6 +428,7 @@
 			return
 		}
 	}
+	w.since = s.world.Now()
 	s.owed = append(s.owed[max(0, len(s.owed)-manners.MostEnds+1):], w)
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -853,6 +853,26 @@
 	}
 }
 
+// TestOwedInTime has a task end whose owner's connection has closed, while nothing is served that could prove another: the end is told
+// within a second all the same, on one on which something was asked, and not on one on which nothing was.
+func TestOwedInTime(t *testing.T) {
+	r := begin(t, "a")
+	n, x := r.nodes["a"], r.dial()
+	x.ask(7, "single")
+	r.pass(200)
+	x.conn.End(true, nil)
+	r.pass(50)
+	idle, y := r.dial(), r.dial()
+	idle.send(codec.AppendTest(nil, 9, false))
+	n.does = func(*ear, uint64) {} // it serves nobody any more
+	y.ask(8, "single")
+	r.pass(50)
+	n.conns[0].send(codec.AppendEnd(nil, 7, codec.Normal))
+	r.pass(900)
+	y.want("an owner that asked", "7 end 16")
+	idle.want("one that did not", "9 tested 1")
+}
+
 // TestShares has descriptors so short that set-ups share connections: all are served, and few connections are made.
 func TestShares(t *testing.T) {
 	r := begin(t, "a", "b")
