A probe waits as long as a connection may take to be made, and as long again

Of the times in decide, platform and facts this one was fitted to the sites at hand: 500 ms, twice their connect time-out. A customer whose connections may take 400 ms or more had probes time out before their connection was there. Found by going through the constants.

--- a/internal/decide/doubt/doubt.go
+++ b/internal/decide/doubt/doubt.go
@@ -141,6 +141,9 @@
 // ProbeFor is how long a probe's answer is waited for.
 func ProbeFor() float64 { return probeFor }
 
+// ProbeWithin is the same where a connection may take so long to be made: as long again is left for the answer.
+func ProbeWithin(connect float64) float64 { return max(probeFor, 2*connect) }
+
 // Cut is the outcome of a try whose connection ended under it, to a node that can't be asked what became of it: it
 // never ran only if not all of it was handed over.
 func Cut(whole bool) logic.Verdict {
--- a/internal/decide/doubt/doubt_test.go
+++ b/internal/decide/doubt/doubt_test.go
@@ -68,3 +68,12 @@
 		}
 	}
 }
+
+// TestProbeWithin gives a probe the time that a connection may take to be made, and as long again for its answer.
+func TestProbeWithin(t *testing.T) {
+	for connect, want := range map[float64]float64{0: 500, 150: 500, 250: 500, 400: 800, 1000: 2000} {
+		if got := ProbeWithin(connect); got != want {
+			t.Errorf("connections in %g ms: %g, want %g", connect, got, want)
+		}
+	}
+}
--- a/internal/platform/host/host.go
+++ b/internal/platform/host/host.go
@@ -101,6 +101,7 @@
 	stands int
 
 	patience float64
+	probeFor float64
 }
 
 type probe struct {
@@ -111,7 +112,7 @@
 // New starts a module.
 func New(edge Edge, now float64, seed uint64, cl *logic.Cluster) *Host {
 	h := &Host{edge: edge, step: cl.Step, most: cl.MaxTries, now: now, last: math.Inf(-1), allocs: map[uint32]*alloc{},
-		probes: map[uint32]probe{}}
+		probes: map[uint32]probe{}, probeFor: doubt.ProbeFor()}
 	h.words.Tell = func(what, why string) { h.edge.Mode("words: " + what + " switched off: " + why) }
 	h.fence.begin(now, seed, cl)
 	h.mod = logic.New(acts{h}, now, seed, cl)
@@ -125,6 +126,9 @@
 // Patience is how long, in ms, a time-out waits from now on when it runs out, as answers may lie unread.
 func (h *Host) Patience(ms float64) { h.patience = ms }
 
+// Connects says how long a connection to a node may take to be made, which a probe may have to wait for.
+func (h *Host) Connects(ms float64) { h.probeFor = doubt.ProbeWithin(ms) }
+
 // Round rings what is due and lets the module decide. Rounds come no closer than the step; one that comes too early
 // does nothing.
 func (h *Host) Round(now float64) {
@@ -473,7 +477,7 @@
 	h.count++ // probes and allocations share numbers, so that a late answer never fits a later probe
 	p := probe{seq: h.count, at: h.now}
 	h.probes[node] = p
-	h.bells.Set(h.now+doubt.ProbeFor(), dueProbe, uint64(node)<<32|uint64(p.seq))
+	h.bells.Set(h.now+h.probeFor, dueProbe, uint64(node)<<32|uint64(p.seq))
 	h.edge.Probe(node, p.seq)
 }
 
--- a/internal/platform/host/host_test.go
+++ b/internal/platform/host/host_test.go
@@ -422,3 +422,16 @@
 		t.Errorf("at its expiry: %q", got)
 	}
 }
+
+// TestProbeWaits has a probe wait for a connection that may take long: it times out no sooner, and its answer is heard until then.
+func TestProbeWaits(t *testing.T) {
+	for _, c := range []struct{ connects, after, want float64 }{{250, 490, 1}, {250, 520, 0}, {1000, 1900, 1}, {1000, 2020, 0}} {
+		s := begin(t, 1)
+		s.h.Connects(c.connects)
+		acts{s.h}.Probe(100)
+		s.pass(c.after)
+		if n := float64(len(s.h.probes)); n != c.want {
+			t.Errorf("%+v: %g wait", c, n)
+		}
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -140,6 +140,7 @@
 	defer s.mu.Unlock()
 	now := s.world.Now()
 	s.host = host.New(edge{s}, now, c.Seed, c.Known.Cluster)
+	s.host.Connects(c.Known.ConnectFor)
 	if err := s.begin(now, c); err != nil {
 		return err
 	}
