--- a/internal/lab/route/route.go
+++ b/internal/lab/route/route.go
@@ -223,7 +223,7 @@
 	if s.lives > 1 && g.rng.IntN(4) == 0 { // it says nothing yet
 		s.journal.hush(2000 * g.rng.Float64())
 	}
-	c := s.charter()
+	c := s.configuration()
 	world := outside.World(s.p)
 	if g.World != nil {
 		world = g.World(world)
@@ -259,7 +259,7 @@
 	s.owner.begin()
 }
 
-func (s *sched) charter() *platform.Charter {
+func (s *sched) configuration() *platform.Configuration {
 	known, err := facts.Read([]byte(s.facts))
 	if err != nil {
 		s.g.fail(err.Error())
@@ -269,7 +269,7 @@
 	if s.g.Known != nil {
 		events = s.g.Known(events)
 	}
-	return &platform.Charter{Name: s.name, Listen: s.name + ":1", Journal: s.journal.address, Seed: s.g.rng.Uint64(), MemoryMB: 64, Sockets: 200,
+	return &platform.Configuration{Name: s.name, Listen: s.name + ":1", Journal: s.journal.address, Seed: s.g.rng.Uint64(), MemoryMB: 64, Sockets: 200,
 		Known: known, Events: events}
 }
 
@@ -313,7 +313,7 @@
 	}
 	old := s.journal
 	s.journal = old.moved(fmt.Sprintf("journal-%s-%d-%d:1", s.name, s.lives, s.g.rng.Uint32()))
-	s.s.Take(s.charter())
+	s.s.Take(s.configuration())
 	old.close()
 }
 
--- a/internal/platform/charter.go
+++ b/internal/platform/configuration.go
@@ -10,8 +10,8 @@
 	"ravenpond/internal/facts"
 )
 
-// Charter is what the platform tells a scheduler of its place.
-type Charter struct {
+// Configuration is what the platform tells a scheduler of its place.
+type Configuration struct {
 	Name, Listen, Journal string
 	Seed                  uint64
 	Cores                 float64
@@ -21,7 +21,7 @@
 }
 
 // Load reads it from a file. What stands in the environment beside it, name and address, counts before the file's.
-func Load(file, name, listen string) (*Charter, error) {
+func Load(file, name, listen string) (*Configuration, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
@@ -46,7 +46,7 @@
 )
 
 // Read reads it from its text.
-func Read(text []byte) (*Charter, error) {
+func Read(text []byte) (*Configuration, error) {
 	var f struct {
 		Name, Listen, Seed, Journal string
 		Limits                      struct {
@@ -83,6 +83,6 @@
 	if err := known.OnSockets(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	return &Charter{Name: f.Name, Listen: f.Listen, Journal: f.Journal, Seed: seed, Cores: f.Limits.Cores,
+	return &Configuration{Name: f.Name, Listen: f.Listen, Journal: f.Journal, Seed: seed, Cores: f.Limits.Cores,
 		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: known, Events: f.Known}, nil
 }
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -34,7 +34,7 @@
 }
 
 // begin applies the events that are known at the start.
-func (s *Server) begin(now float64, c *Charter) error {
+func (s *Server) begin(now float64, c *Configuration) error {
 	s.feed.address = c.Journal
 	s.host.ListBegin(now, logic.ListCached)
 	last, err := codec.Known(c.Events, func(pos uint64, _ bool) bool { s.feed.pos = max(s.feed.pos, pos); return true }, s.entry(nil))
--- a/internal/platform/loopback_test.go
+++ b/internal/platform/loopback_test.go
@@ -121,12 +121,12 @@
 
 // real is a scheduler on loopback with one node and a journal service.
 type real struct {
-	t       *testing.T
-	w       *world
-	s       *Server
-	node    *tcpNode
-	door    string
-	charter *Charter
+	t             *testing.T
+	w             *world
+	s             *Server
+	node          *tcpNode
+	door          string
+	configuration *Configuration
 }
 
 // tcpNode takes set-ups; what it says to them is the test's to say.
@@ -223,7 +223,7 @@
 }
 
 // onLoopback starts a scheduler that may use its nodes at once.
-func onLoopback(t *testing.T, change func(*Charter)) *real {
+func onLoopback(t *testing.T, change func(*Configuration)) *real {
 	r := &real{t: t, w: &world{Real: outside.NewReal(), turns: newGate(), reads: newGate(), ends: newGate(), dials: newGate(), comes: newGate(),
 		nodes: newGate()}}
 	r.w.Prompt = true
@@ -244,13 +244,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.charter = &Charter{Name: "n0", Listen: "127.0.0.1:0", Journal: journal.Addr().String(), Seed: 3, MemoryMB: 64, Sockets: 256, Known: known,
+	r.configuration = &Configuration{Name: "n0", Listen: "127.0.0.1:0", Journal: journal.Addr().String(), Seed: 3, MemoryMB: 64, Sockets: 256, Known: known,
 		Events: []byte(`{"pos":1,"entries":[` + event(1, true, entryOf("a", r.node.l.Addr().String(), "ready")) + `]}`)}
 	if change != nil {
-		change(r.charter)
+		change(r.configuration)
 	}
-	r.s = New(r.w, zerolog.Nop(), r.charter)
-	if err := r.s.Start(r.charter); err != nil {
+	r.s = New(r.w, zerolog.Nop(), r.configuration)
+	if err := r.s.Start(r.configuration); err != nil {
 		t.Fatal(err)
 	}
 	r.door = r.s.door.Address()
@@ -469,7 +469,7 @@
 // TestTurnedAway has connections come when there is no room for them: one that says something takes the place of one that does
 // nothing, and where all are at work it is answered before it is closed. None is closed on a request.
 func TestTurnedAway(t *testing.T) {
-	short := func(c *Charter) { c.Sockets = 60 }
+	short := func(c *Configuration) { c.Sockets = 60 }
 	fill := func(r *real) (all []*tcpOwner) {
 		for range r.s.parts.Owners {
 			all = append(all, r.dial())
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -104,7 +104,7 @@
 }
 
 // New makes a scheduler from its configuration. Nothing is connected yet.
-func New(world outside.World, log zerolog.Logger, c *Charter) *Server {
+func New(world outside.World, log zerolog.Logger, c *Configuration) *Server {
 	s := &Server{world: world, log: log, known: c.Known, parts: budget.Divide(c.Sockets, c.MemoryMB), asks: map[uint32]*ask{},
 		tasks: map[uint64]*ask{}, names: map[string]*peer{}, peers: map[uint32]*peer{}, owners: map[*owner]bool{},
 		probes: map[uint64]*link{}, done: make(chan struct{}), epoch: float64(outside.Epoch.UnixMilli())}
@@ -135,7 +135,7 @@
 }
 
 // Start opens the door, and from then on the scheduler runs until Stop has had its effect.
-func (s *Server) Start(c *Charter) error {
+func (s *Server) Start(c *Configuration) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.world.Now()
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -422,8 +422,8 @@
 				r.pass(60)
 				count()
 			}
-			if most > r.s.parts.Owners+r.s.parts.Nodes || most > r.charter.Sockets*98/100-8 {
-				t.Errorf("%d connections at once, %d and %d are allowed of %d descriptors", most, r.s.parts.Owners, r.s.parts.Nodes, r.charter.Sockets)
+			if most > r.s.parts.Owners+r.s.parts.Nodes || most > r.configuration.Sockets*98/100-8 {
+				t.Errorf("%d connections at once, %d and %d are allowed of %d descriptors", most, r.s.parts.Owners, r.s.parts.Nodes, r.configuration.Sockets)
 			}
 			late, unheard := 0, 0
 			for i := range names {
@@ -942,7 +942,7 @@
 		r.sched.Start()
 		first := event(1, true, entryOf("a", "a", "draining"), entryOf("b", "b", "gone"))
 		r.journal.events = []string{first}
-		r.charter.Events = []byte(`{"pos":1,"entries":[` + first + `]}`)
+		r.configuration.Events = []byte(`{"pos":1,"entries":[` + first + `]}`)
 		r.start()
 		x := r.dial()
 		x.send(setUp(6, "batch", codec.Figures, asked+";at:a"))
@@ -978,7 +978,7 @@
 		x.ask(7, "single")
 		r.pass(20)
 		r.s.Stop()
-		moved := *r.charter
+		moved := *r.configuration
 		moved.Journal = "journal:2"
 		r.s.Take(&moved)
 		r.pass(6000)
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -30,14 +30,14 @@
 
 // rig is a scheduler among stand-ins for nodes, owners and the journal service, on a virtual clock and network.
 type rig struct {
-	t       *testing.T
-	c       *sim.Clock
-	sched   *sim.Process
-	s       *Server
-	charter *Charter
-	nodes   map[string]*node
-	journal *journal
-	owners  *sim.Process
+	t             *testing.T
+	c             *sim.Clock
+	sched         *sim.Process
+	s             *Server
+	configuration *Configuration
+	nodes         map[string]*node
+	journal       *journal
+	owners        *sim.Process
 }
 
 const (
@@ -65,15 +65,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.charter = c
+	r.configuration = c
 	r.start()
 	r.pass(3000) // a scheduler that has just begun leaves new nodes alone
 	return r
 }
 
 func (r *rig) start() {
-	r.s = New(r.sched, zerolog.Nop(), r.charter)
-	if err := r.s.Start(r.charter); err != nil {
+	r.s = New(r.sched, zerolog.Nop(), r.configuration)
+	if err := r.s.Start(r.configuration); err != nil {
 		r.t.Fatal(err)
 	}
 }
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -57,7 +57,7 @@
 }
 
 // Take takes what may change in a configuration while a scheduler runs.
-func (s *Server) Take(c *Charter) {
+func (s *Server) Take(c *Configuration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.move(c.Journal)
