--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -20,13 +20,13 @@
 type feed struct {
 	address string
 	watch   tail.Watch
-	tap     *tap
+	current *journalWatch
 	pos     uint64 // of the last event that was applied
 	asked   bool   // the module waits for news or for word that there is none
 }
 
-// tap is one connection to it.
-type tap struct {
+// journalWatch is one connection to it, on which events follow.
+type journalWatch struct {
 	s    *Server
 	conn outside.Conn
 	in   []byte
@@ -102,11 +102,11 @@
 	f := &s.feed
 	if f.watch.Silent(now) {
 		s.log.Info().Str("mode", "journal").Uint64("pos", f.pos).Msg("silent, asked anew")
-		f.tap.end(now)
+		f.current.end(now)
 	}
 	if f.watch.Ask(now) {
-		t := &tap{s: s}
-		f.tap = t
+		t := &journalWatch{s: s}
+		f.current = t
 		s.world.Dial(f.address, tail.Reach(), t.made)
 	}
 	switch {
@@ -129,10 +129,10 @@
 		return
 	}
 	s.log.Info().Str("mode", "journal").Str("address", address).Uint64("pos", f.pos).Msg("moved")
-	if f.tap != nil {
-		f.tap.gone = true
-		if f.tap.conn != nil {
-			f.tap.conn.End(false, nil)
+	if f.current != nil {
+		f.current.gone = true
+		if f.current.conn != nil {
+			f.current.conn.End(false, nil)
 		}
 	}
 	f.address = address
@@ -140,7 +140,7 @@
 	s.feedTick(now)
 }
 
-func (t *tap) made(c outside.Conn, err error) {
+func (t *journalWatch) made(c outside.Conn, err error) {
 	s := t.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -163,7 +163,7 @@
 }
 
 // end gives the connection up.
-func (t *tap) end(now float64) {
+func (t *journalWatch) end(now float64) {
 	if t.gone {
 		return
 	}
@@ -172,7 +172,7 @@
 	t.s.feed.watch.Broke(now)
 }
 
-func (t *tap) Heard(b []byte) {
+func (t *journalWatch) Heard(b []byte) {
 	s := t.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -210,7 +210,7 @@
 	s.wake()
 }
 
-func (t *tap) Over(error) {
+func (t *journalWatch) Over(error) {
 	t.s.mu.Lock()
 	defer t.s.mu.Unlock()
 	t.end(t.s.world.Now())
