--- a/internal/decide/leave/leave.go
+++ b/internal/decide/shutdown/shutdown.go
@@ -1,7 +1,7 @@
-// Package leave decides how a scheduler that is told to end does so: it takes what comes for as long as some may not know
+// Package shutdown decides how a scheduler that is told to end does so: it takes what comes for as long as some may not know
 // yet, then declines what comes still, answers all that it took, and stays for the news of what stands until shortly before it
 // could be killed.
-package leave
+package shutdown
 
 // Times in milliseconds from being told. What the protocol's page says of a planned restart: new connections come for 0.4 s at
 // most, requests for 0.2 s more, and nobody is killed sooner than the longest expiry, counted as no more than 3 s, and 0.7 s.
--- a/internal/decide/leave/leave_test.go
+++ b/internal/decide/shutdown/shutdown_test.go
@@ -1,4 +1,4 @@
-package leave
+package shutdown
 
 import "testing"
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -18,8 +18,8 @@
 	"ravenpond/internal/decide/admit"
 	"ravenpond/internal/decide/budget"
 	"ravenpond/internal/decide/lag"
-	"ravenpond/internal/decide/leave"
 	"ravenpond/internal/decide/manners"
+	"ravenpond/internal/decide/shutdown"
 	"ravenpond/internal/facts"
 	"ravenpond/internal/outside"
 	"ravenpond/internal/platform/host"
@@ -63,7 +63,7 @@
 	guests      int         // owners' connections that are not let in
 	stopped     bool
 	told        float64
-	plan        leave.Plan
+	plan        shutdown.Plan
 	done        chan struct{}
 	ended       bool
 	answeredAll bool
@@ -165,7 +165,7 @@
 	defer s.mu.Unlock()
 	if !s.stopped {
 		s.stopped, s.told = true, s.world.Now()
-		s.plan = leave.Told(s.told, slices.Max(s.known.Expiry))
+		s.plan = shutdown.Told(s.told, slices.Max(s.known.Expiry))
 		s.log.Info().Str("mode", "stop").Int("open", s.host.Open()).Int("stands", s.host.Stands()).Msg("told to end")
 	}
 	s.wake()
@@ -195,7 +195,7 @@
 		s.tick(now)
 	}
 	if s.stopped {
-		s.leave(now)
+		s.shutdown(now)
 	}
 	next := min(s.host.Next(), s.ticked+tickEvery)
 	if len(s.inbox) > 0 {
@@ -256,8 +256,8 @@
 	}
 }
 
-// leave goes through what is due for a scheduler that was told to end.
-func (s *Server) leave(now float64) {
+// shutdown goes through what is due for a scheduler that was told to end.
+func (s *Server) shutdown(now float64) {
 	if now >= s.plan.Answer && !s.answeredAll {
 		s.answeredAll = true
 		s.log.Info().Str("mode", "stop").Int("open", s.host.Open()).Int("inbox", len(s.inbox)).Int("stands", s.host.Stands()).
