--- a/internal/platform/loopback_test.go
+++ b/internal/platform/loopback_test.go
@@ -698,3 +698,65 @@
 		r.until("its node is told", func() bool { return r.node.ended(1) })
 	})
 }
+
+// TestIdleCrowd has idle clients come by hundreds while the journal service can't be reached: each side keeps to its part of the
+// descriptors, what is stood up for work in hand is found room for, the next useful client is served, and the journal service is
+// connected once it is there.
+func TestIdleCrowd(t *testing.T) {
+	r := onLoopback(t, func(c *Configuration) {
+		c.Sockets = 100
+		c.Journal = "127.0.0.1:1" // nobody listens there
+	})
+	within := func() {
+		t.Helper()
+		r.s.mu.Lock()
+		defer r.s.mu.Unlock()
+		if p := r.s.parts; len(r.s.owners)-r.s.guests > p.Owners || r.s.guests > p.Guests || r.s.links > p.Nodes {
+			t.Errorf("%d clients, %d of them guests, %d to nodes; parts %+v", len(r.s.owners), r.s.guests, r.s.links, p)
+		}
+	}
+	x := r.dial()
+	x.ask(7, "single")
+	r.until("work is in hand", func() bool { return slices.Contains(r.node.took(), 7) })
+	for range 3 {
+		for range 100 {
+			c, err := net.Dial("tcp", r.door)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { c.Close() })
+		}
+		within()
+	}
+	r.until("they fill their part", func() bool {
+		return r.counted(func(s *Server) int { return len(s.owners) - s.guests }) == r.s.parts.Owners
+	})
+	r.skip(600)
+	r.node.say(7, codec.AppendAnswer(nil, 7, []byte("at a")))
+	x.hears("7 served at a")
+	y := r.dial()
+	y.ask(8, "single")
+	r.until("the next is offered", func() bool { return slices.Contains(r.node.took(), 8) })
+	r.node.say(8, codec.AppendAnswer(nil, 8, []byte("at a")))
+	y.hears("8 served at a")
+	within()
+	tails := make(chan string, 1)
+	journal := serveTCP(t, func(c net.Conn) {
+		b := make([]byte, 64)
+		n, _ := c.Read(b)
+		select {
+		case tails <- string(b[:n]):
+		default:
+		}
+		_, _ = c.Write([]byte("{\"pos\":1}\n"))
+		_, _ = c.Read(b)
+	})
+	moved := *r.configuration
+	moved.Journal = journal.Addr().String()
+	r.s.Take(&moved)
+	if got := <-tails; got != "tail 1\n" {
+		t.Errorf("the journal service was asked %q", got)
+	}
+	r.until("it is heard", func() bool { r.s.mu.Lock(); defer r.s.mu.Unlock(); return r.s.feed.watch.Live(r.w.Now()) })
+	within()
+}
