What comes in the moment of a time-out or an expiry, in both orders: a test

Starts, refusals, breaks and withdrawals at the time-out and at the expiry, each job type, both orders: the owner hears once, a start that counts is never given up, nothing is kept.

--- a/internal/platform/host/host_test.go
+++ b/internal/platform/host/host_test.go
@@ -15,8 +15,9 @@
 	now   float64
 	lines []string
 	offer struct {
-		try  uint8
-		node uint32
+		try   uint8
+		node  uint32
+		until float64
 	}
 	probe uint32
 }
@@ -25,8 +26,8 @@
 	s.lines = append(s.lines, fmt.Sprintf(format, args...))
 }
 
-func (s *script) Offer(id uint32, try uint8, node uint32, _ float64) {
-	s.offer.try, s.offer.node = try, node
+func (s *script) Offer(id uint32, try uint8, node uint32, left float64) {
+	s.offer.try, s.offer.node, s.offer.until = try, node, s.now+left
 	s.say("offer %d.%d", id, try)
 }
 func (s *script) GiveUp(id uint32, try uint8, _ uint32) { s.say("give up %d.%d", id, try) }
@@ -435,3 +436,77 @@
 		}
 	}
 }
+
+// TestCrossings has what a node or an owner says come in the very moment in which a try's time-out or the expiry falls due, before the turn
+// that meets it and after it. The owner hears once or not at all if it is gone, a start that counts is never given up, one that does not is
+// no start, and nothing is kept.
+func TestCrossings(t *testing.T) {
+	says := map[string]func(s *script, id uint32) bool{
+		"started": func(s *script, id uint32) bool { return s.h.Started(s.now, id, s.offer.try) },
+		"refused": func(s *script, id uint32) bool {
+			s.h.Settled(s.now, id, s.offer.try, logic.Refused, 0, nil)
+			return false
+		},
+		"broken": func(s *script, id uint32) bool {
+			s.h.Settled(s.now, id, s.offer.try, logic.Broken, 0, nil)
+			return false
+		},
+		"withdrawn": func(s *script, id uint32) bool { s.h.Withdrawn(s.now, id); return false },
+	}
+	for what, say := range says {
+		for _, due := range []string{"time-out", "expiry"} {
+			for _, first := range []bool{true, false} {
+				for job := range 3 {
+					t.Run(fmt.Sprintf("%s at the %s, before it %v, job %d", what, due, first, job), func(t *testing.T) {
+						s := begin(t, 4)
+						id := s.ask(job)
+						expiry := s.now + 2500
+						s.pass(10)
+						if s.look() != "offer 1.0" {
+							t.Fatal("not offered")
+						}
+						at := s.offer.until
+						if due == "expiry" {
+							for at = expiry; s.offer.until < expiry; { // tries until one lasts to the expiry, or none is left
+								until := s.offer.until
+								if s.pass(until - s.now + 5); s.offer.until == until {
+									break
+								}
+							}
+							s.look()
+						}
+						s.now = max(s.now, at)
+						stands := false
+						if first {
+							stands = say(s, id)
+							s.h.Round(s.now)
+						} else {
+							s.h.Round(s.now)
+							stands = say(s, id)
+						}
+						s.pass(4000)
+						said := s.look()
+						answers := strings.Count(said, "answer")
+						switch {
+						case stands && (answers > 0 || strings.Contains(said, "give up")):
+							t.Errorf("it stands, and then %q", said)
+						case !stands && what == "withdrawn" && answers > 1, !stands && what != "withdrawn" && due == "time-out" && answers != 1:
+							t.Errorf("%d answers: %q", answers, said)
+						case due == "expiry" && answers > 1:
+							t.Errorf("%d answers: %q", answers, said)
+						case due == "expiry" && what == "started" && stands:
+							t.Errorf("started at its expiry: %q", said)
+						}
+						if stands {
+							s.h.Settled(s.now, id, s.offer.try, logic.Ended, 0, nil)
+							s.pass(100)
+						}
+						if len(s.h.allocs) > 0 || s.h.Open() != 0 || s.h.Stands() != 0 {
+							t.Errorf("%d are kept, %d open, %d stand", len(s.h.allocs), s.h.Open(), s.h.Stands())
+						}
+					})
+				}
+			}
+		}
+	}
+}
