--- a/internal/platform/leak_test.go
+++ b/internal/platform/leak_test.go
@@ -1,10 +1,25 @@
 package platform
 
 import (
+	"fmt"
+	"os"
 	"testing"
 
+	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 )
 
+// runs, in the environment, has the tests' binary be a scheduler.
+const runs = "RAVENPOND_TEST_RUNS"
+
 // TestMain holds that every goroutine has come to its end when the tests have.
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	if os.Getenv(runs) != "" {
+		if err := Run(zerolog.New(os.Stderr)); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	goleak.VerifyTestMain(m)
+}
--- a/internal/platform/loopback_test.go
+++ b/internal/platform/loopback_test.go
@@ -760,3 +760,48 @@
 	r.until("it is heard", func() bool { r.s.mu.Lock(); defer r.s.mu.Unlock(); return r.s.feed.watch.Live(r.w.Now()) })
 	within()
 }
+
+// TestTrickles has a request come a byte at a time, and its answer from the node, with another client's whole request and answer in between:
+// nobody else waits. An answer that breaks off after some bytes, by a close or a reset, is no answer, and at-most-once work has failed.
+func TestTrickles(t *testing.T) {
+	answer := codec.AppendAnswer(nil, 7, []byte("at a"))
+	for _, ends := range []string{"whole", "closed", "reset"} {
+		t.Run(ends, func(t *testing.T) {
+			r := onLoopback(t, nil)
+			x, y := r.dial(), r.dial()
+			beside := func(task uint64) {
+				t.Helper()
+				y.ask(task, "single")
+				r.until("it is offered beside", func() bool { return slices.Contains(r.node.took(), task) })
+				r.node.say(task, codec.AppendAnswer(nil, task, []byte("at a")))
+				y.hears(fmt.Sprintf("%d served at a", task))
+			}
+			request := setUp(7, "single")
+			for i := range request {
+				if i == len(request)/2 {
+					beside(100)
+				}
+				x.send(request[i : i+1])
+			}
+			r.until("it is offered", func() bool { return slices.Contains(r.node.took(), 7) })
+			for i := range answer {
+				if i == len(answer)/2 {
+					beside(101)
+					if ends != "whole" {
+						r.node.mu.Lock()
+						c := r.node.on[7].(*net.TCPConn)
+						if ends == "reset" {
+							_ = c.SetLinger(0)
+						}
+						c.Close()
+						r.node.mu.Unlock()
+						x.hears("7 end 41")
+						return
+					}
+				}
+				r.node.say(7, answer[i:i+1])
+			}
+			x.hears("7 served at a")
+		})
+	}
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -602,6 +602,54 @@
 			r.journal.mute = false
 			r.journal.conns[0].over = true // nothing more comes on the old connection
 		}, 3000},
+		{"silent in the midst of a line", func(r *rig) {
+			r.journal.events = append(r.journal.events, event(2, false, gone, come))
+			r.journal.tell(r.journal.events[1][:60])
+			r.journal.conns[0].over = true
+		}, 3000},
+		{"in a trickle", func(r *rig) {
+			r.journal.events = append(r.journal.events, event(2, false, gone, come))
+			x, line := r.journal.conns[0], r.journal.events[1]+"\n"
+			x.over = true // no count comes between
+			for i := range line {
+				r.c.At(r.c.True()+8*float64(i), func() { x.say(line[i : i+1]) })
+			}
+		}, 8*400 + 200},
+		{"in a trickle without end", func(r *rig) {
+			r.journal.events = append(r.journal.events, event(2, false, gone, come))
+			x := r.journal.conns[0]
+			x.over = true
+			for i := range 100 {
+				r.c.At(r.c.True()+100*float64(i), func() { x.say("{") })
+			}
+		}, 5000},
+		{"silent, at another address, where it is silent too, and at a third", func(r *rig) {
+			old := r.journal
+			old.mute = true
+			for i := range 2 {
+				r.journal = newJournal(r, fmt.Sprint("journal:", 2+i))
+				r.journal.events = append([]string(nil), old.events...)
+				r.journal.mute = i == 0
+				r.pass(500)
+				r.s.mu.Lock()
+				r.s.move(fmt.Sprint("journal:", 2+i))
+				r.s.mu.Unlock()
+			}
+			r.pass(50)
+			r.journal.happens(gone, come)
+		}, 100},
+		{"moved and moved back before a connection is made", func(r *rig) {
+			other := newJournal(r, "journal:2")
+			other.mute = true
+			r.s.mu.Lock()
+			for range 5 {
+				r.s.move("journal:2")
+				r.s.move("journal:1")
+			}
+			r.s.mu.Unlock()
+			r.pass(50)
+			r.journal.happens(gone, come)
+		}, 100},
 		{"at another address", func(r *rig) {
 			old := r.journal
 			r.journal = newJournal(r, "journal:2")
--- /dev/null
+++ b/internal/platform/run_test.go
@@ -0,0 +1,151 @@
+package platform
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	codec "ravenpond/internal/proto/platform"
+)
+
+// process is a scheduler as a program of its own, on loopback.
+type process struct {
+	*real
+	cmd  *exec.Cmd
+	file string
+	err  *lines
+}
+
+// lines keeps what a process says.
+type lines struct {
+	mu  sync.Mutex
+	all bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.Write(b)
+}
+
+func (l *lines) has(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.all.String(), text)
+}
+
+// tailed is a journal service that writes down what it is asked.
+func tailed(t *testing.T) (address string, asked func() int) {
+	var mu sync.Mutex
+	n := 0
+	l := serveTCP(t, func(c net.Conn) {
+		b := make([]byte, 64)
+		if _, err := c.Read(b); err != nil {
+			return
+		}
+		mu.Lock()
+		n++
+		mu.Unlock()
+		for {
+			if _, err := c.Write([]byte("{\"pos\":1}\n")); err != nil {
+				return
+			}
+			_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+			if _, err := c.Read(b); err != nil && errTimeoutOf(err) == nil {
+				return
+			}
+		}
+	})
+	return l.Addr().String(), func() int { mu.Lock(); defer mu.Unlock(); return n }
+}
+
+func (p *process) write(journal string) {
+	p.t.Helper()
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"journal":%q,"seed":"3","limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"pos":1,"entries":[%s]},"settings":%s}`,
+		p.door, journal, event(1, true, entryOf("a", p.node.l.Addr().String(), "ready")), settings)
+	if err := os.WriteFile(p.file+".new", []byte(text), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+	if err := os.Rename(p.file+".new", p.file); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func startProcess(t *testing.T, journal string) *process {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{real: &real{t: t, node: newTCPNode(t), door: free.Addr().String()}, file: filepath.Join(t.TempDir(), "config.json"), err: &lines{}}
+	free.Close()
+	p.write(journal)
+	exe, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd = exec.Command(exe)
+	p.cmd.Env = append(os.Environ(), runs+"=1", "GW_CONFIG="+p.file)
+	p.cmd.Stderr = p.err
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = p.cmd.Process.Kill(); _ = p.cmd.Wait() })
+	p.until("the door is open", func() bool { return p.err.has(`"message":"open"`) })
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// TestSignals has a program hear SIGHUP in quick succession, with files that can't be read among them, and SIGTERM right behind one, while
+// work is in hand: the last address is followed, what is in hand is answered, and it ends with status 0.
+func TestSignals(t *testing.T) {
+	first, askedFirst := tailed(t)
+	second, askedSecond := tailed(t)
+	third, _ := tailed(t)
+	p := startProcess(t, first)
+	p.until("the first journal service is asked", func() bool { return askedFirst() > 0 })
+	x := p.dial()
+	x.ask(7, "single")
+	p.until("work is in hand", func() bool { return slices.Contains(p.node.took(), 7) })
+	for i := range 20 {
+		if i%3 == 0 {
+			if err := os.WriteFile(p.file, []byte(`{"name":`), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		} else {
+			p.write([]string{first, third}[i%2])
+		}
+		p.signal(syscall.SIGHUP)
+	}
+	if err := os.WriteFile(p.file, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.signal(syscall.SIGHUP)
+	p.until("a bad file is told", func() bool { return p.err.has("not taken") })
+	p.write(second)
+	p.signal(syscall.SIGHUP)
+	p.until("the last address is asked", func() bool { return askedSecond() > 0 })
+	p.signal(syscall.SIGHUP)
+	p.signal(syscall.SIGTERM)
+	p.signal(syscall.SIGHUP)
+	p.until("it is told to end", func() bool { return p.err.has("told to end") })
+	p.node.say(7, codec.AppendAnswer(nil, 7, []byte("at a")))
+	x.hears("7 served at a", "closed")
+	if err := p.cmd.Wait(); err != nil {
+		t.Errorf("%v", err)
+	}
+}
