--- a/internal/platform/loopback_test.go
+++ b/internal/platform/loopback_test.go
@@ -805,3 +805,87 @@
 		})
 	}
 }
+
+// TestGoneEarly has owners leave before their request is taken: while they wait at the door, when they were let in and not read, with half of
+// the request read, and in one read with it. Nothing begins for them. One that leaves once its task stands leaves it standing.
+func TestGoneEarly(t *testing.T) {
+	whole := setUp(7, "single")
+	for how, leave := range leaves {
+		for step, play := range map[string]func(t *testing.T, r *real, x func() *tcpOwner){
+			"at the door": func(t *testing.T, r *real, dial func() *tcpOwner) {
+				r.w.comes.set(true)
+				dial() // its coming is held, so that the next waits in the kernel
+				r.until("the door is held", func() bool { return r.w.comes.held() > 0 })
+				x := dial()
+				x.send(whole)
+				leave(x)
+				r.w.comes.set(false)
+			},
+			"let in": func(t *testing.T, r *real, dial func() *tcpOwner) {
+				r.w.reads.set(true)
+				r.w.ends.set(true)
+				x := dial()
+				x.send(whole)
+				r.until("its reader is held", func() bool { return r.w.reads.held() > 0 })
+				leave(x)
+				r.w.reads.set(false)
+				r.until("the news of it is held", func() bool { return r.w.ends.held() > 0 })
+			},
+			"half read": func(t *testing.T, r *real, dial func() *tcpOwner) {
+				x := dial()
+				x.send(whole[:30])
+				r.until("half is read", func() bool {
+					return r.counted(func(s *Server) int {
+						n := 0
+						for o := range s.owners {
+							n += len(o.in)
+						}
+						return n
+					}) == 30
+				})
+				r.w.reads.set(true)
+				r.w.ends.set(true)
+				x.send(whole[30:])
+				r.until("its reader is held", func() bool { return r.w.reads.held() > 0 })
+				leave(x)
+				r.w.reads.set(false)
+				r.until("the news of it is held", func() bool { return r.w.ends.held() > 0 })
+			},
+		} {
+			t.Run(step+", "+how, func(t *testing.T) {
+				r := onLoopback(t, nil)
+				if step != "at the door" {
+					r.w.turns.set(true)
+				}
+				play(t, r, r.dial)
+				r.w.turns.set(false)
+				y := r.dial()
+				y.ask(8, "batch") // what comes after it is served: so the other was met
+				r.until("the next is offered", func() bool { return slices.Contains(r.node.took(), 8) })
+				r.node.say(8, codec.AppendAnswer(nil, 8, []byte("at a")))
+				y.hears("8 served at a")
+				r.w.ends.set(false)
+				r.settledDown()
+				if got := r.node.took(); slices.Contains(got, 7) {
+					t.Errorf("set-ups %v: one began for an owner that was gone", got)
+				}
+			})
+		}
+		t.Run("standing, "+how, func(t *testing.T) {
+			r := onLoopback(t, nil)
+			x := r.dial()
+			x.ask(7, "single")
+			r.until("it is offered", func() bool { return slices.Contains(r.node.took(), 7) })
+			r.node.say(7, codec.AppendAnswer(nil, 7, []byte("at a")))
+			x.hears("7 served at a")
+			leave(x)
+			r.until("it is known to be gone", func() bool { return r.counted(func(s *Server) int { return len(s.owners) }) == 0 })
+			y := r.dial()
+			y.ask(8, "batch")
+			r.until("the next is offered", func() bool { return slices.Contains(r.node.took(), 8) })
+			if r.node.ended(7) {
+				t.Error("what stands was ended, though it belongs to no connection")
+			}
+		})
+	}
+}
