TestPrompt waits for its writer before it sends what is to be taken back

Seen: 2 of 50 runs with the race detector on busy cores failed, "the last that has not left is taken back": the writer had not begun, and took what followed along with what it was to write.

--- a/internal/outside/real_test.go
+++ b/internal/outside/real_test.go
@@ -214,6 +214,7 @@
 	if waits == 0 {
 		t.Fatal("all was taken at once: nothing is shown")
 	}
+	until(t, "a writer has it in hand", func() bool { return c.Handed() == all }) // else it takes what follows with it
 	after, _, _ := c.Send(line(7))
 	if c.Unsend(all, big) {
 		t.Error("took back what others follow")
