Who is let in as the door closes is answered, not parted with at once

Seen on reading the change again, then by a test that holds one client's coming until all others were parted with: those who wait at the door were let in and closed on their request. TestLetInLast was seen failing without it.

--- a/internal/platform/loopback_test.go
+++ b/internal/platform/loopback_test.go
@@ -541,6 +541,29 @@
 	}
 }
 
+// TestLetInLast has a client wait at the door with its request until the door is closed and all others have been parted with: it is let in
+// and answered, then closed.
+func TestLetInLast(t *testing.T) {
+	r := onLoopback(t, nil)
+	r.w.comes.set(true)
+	first := r.dial() // its coming is held, and x waits in the kernel behind it
+	first.ask(6, "single")
+	r.until("the door is held", func() bool { return r.w.comes.held() > 0 })
+	x := r.dial()
+	x.ask(7, "single")
+	r.s.Stop()
+	r.s.mu.Lock()
+	ahead := r.s.plan.Part - r.w.Now()
+	r.s.mu.Unlock()
+	r.w.mu.Lock()
+	r.w.jump += ahead
+	r.w.mu.Unlock()
+	r.until("all others are parted with", func() bool { r.s.mu.Lock(); defer r.s.mu.Unlock(); return r.s.parted })
+	r.w.comes.set(false)
+	first.hears("6 end 42", "closed")
+	x.hears("7 end 42", "closed")
+}
+
 // TestStopsAtEachStep tells a scheduler to end while a request is at each step of its life: it has one answer, and nothing is owed.
 func TestStopsAtEachStep(t *testing.T) {
 	for _, step := range []string{"before accept", "accepted", "half read", "in the inbox", "dialling", "sent", "answered"} {
--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -56,9 +56,6 @@
 	}
 	s.owners[o] = true
 	c.Begin(o, manners.Stuck)
-	if s.parted {
-		o.part()
-	}
 }
 
 // letIn has a guest that said something of use take the place of a connection that does nothing; false if there is none.
@@ -209,7 +206,7 @@
 	switch {
 	case err != nil:
 		o.expel(err.Error())
-	case o.guest && answered && !o.gone:
+	case (o.guest || o.s.parted) && answered && !o.gone: // it was let in to be answered
 		o.expel("no room")
 	}
 	if o.gone {
