A world that closes lets soft ends hand over their last words, as it did

Seen on reading the change again, then by a test: Close shut each connection's socket at once, for those that wait for their peers' close, and so cut off what a connection that ended softly had not handed over yet, which it had time for before. Now the waiting ones alone are closed.

--- a/internal/outside/real.go
+++ b/internal/outside/real.go
@@ -66,7 +66,7 @@
 			r.work.Done()
 		}
 	}
-	doors, conns, ports := r.doors, r.conns, r.ports
+	doors, conns, ports, linger := r.doors, r.conns, r.ports, slices.Clone(r.linger)
 	r.doors, r.conns, r.ports = map[*door]bool{}, map[*conn]bool{}, map[*port]bool{}
 	r.mu.Unlock()
 	r.cancel()
@@ -75,7 +75,9 @@
 	}
 	for c := range conns {
 		c.End(false, nil)
-		c.c.Close() // one that lingers too
+	}
+	for _, c := range linger { // all is said on these; on others that end softly it is handed over yet
+		c.c.Close()
 	}
 	for p := range ports {
 		p.c.Close()
--- a/internal/outside/real_test.go
+++ b/internal/outside/real_test.go
@@ -522,3 +522,21 @@
 	default:
 	}
 }
+
+// TestCloseHandsOver closes a world while a connection that ended softly has words to hand over: they are handed over yet, as its peer
+// takes them only then.
+func TestCloseHandsOver(t *testing.T) {
+	r := NewReal()
+	c, there := pipe(t, r)
+	c.Begin(newEar(), 5000)
+	c.Send(func(b []byte) []byte { return append(b, "answer"...) })
+	c.End(true, []byte(", bye"))
+	closed := make(chan struct{})
+	go func() { r.Close(10 * time.Second); close(closed) }()
+	<-r.ctx.Done()
+	time.Sleep(20 * time.Millisecond) // what would cut it off does so at once
+	if got, err := io.ReadAll(there); err != nil || string(got) != "answer, bye" {
+		t.Errorf("%q, %v", got, err)
+	}
+	<-closed
+}
