shardrouter: answer for a shard that has had no round since the answer was due

Callers got no answer (rule 1) to requests that came due just after their shard had stopped. A shard counted as silent after 250 ms, while answers leave 200 ms before the deadline: the first check to find the shard silent found the deadline passed, after which nothing may be sent. Seen by driving the router through each moment of a stop. Ruled out: the answer margin being too short, as a request due 300 ms after the stop is answered.

Silence is now measured against what is due: no round within the quarter of the answer margin before the router takes over. The rule has no time of its own, so it holds whatever the margin is. TestOverdueIsAnsweredInTime fails without it.

--- a/internal/decide/shardrouter/health.go
+++ b/internal/decide/shardrouter/health.go
@@ -2,7 +2,6 @@
 
 import (
 	"ravenpond/internal/decide/shardownership"
-	"ravenpond/internal/decide/watchdog"
 )
 
 const (
@@ -62,7 +61,7 @@
 type Health struct {
 	Fence   []int // shards to fence
 	Restart []int // fenced shards to start again
-	Silent  []int // shards that give no sign of life
+	Silent  []int // shards that have missed what is overdue
 	// Overdue are allocations of silent shards that are answered for them now.
 	Overdue []OrphanDecision
 	// Lost are requests whose allocations ran at a fenced shard and were not recovered.
@@ -77,7 +76,7 @@
 	var h Health
 	h.Fence, h.Restart = r.watchdog.Check(now, beats)
 	for shard, beat := range beats {
-		if r.stopped[shard] || !watchdog.IsSilent(now, beat) {
+		if r.stopped[shard] || !r.hasMissedAnswers(now, beat) {
 			continue
 		}
 		h.Silent = append(h.Silent, shard)
@@ -95,6 +94,13 @@
 	return h
 }
 
+// hasMissedAnswers reports whether a shard whose last round was at a time has missed what is overdue now. A shard that runs has a round when
+// an answer is due, AnswerMargin before the deadline. A fixed time of silence must not decide: one that is longer than the margin lets
+// deadlines pass before the silence is noticed.
+func (r *Router) hasMissedAnswers(now, lastRoundAt float64) bool {
+	return now-lastRoundAt > r.config.AnswerMargin-r.OverdueMargin()
+}
+
 // OverdueMargin returns how long before a deadline, in ms, an allocation of a silent shard is answered for it.
 func (r *Router) OverdueMargin() float64 { return r.config.AnswerMargin * 3 / 4 }
 
--- a/internal/decide/shardrouter/shardrouter_test.go
+++ b/internal/decide/shardrouter/shardrouter_test.go
@@ -116,3 +116,30 @@
 		t.Error("answered again")
 	}
 }
+
+// TestOverdueIsAnsweredInTime has a shard stop at each moment around that in which it would have answered a request: the router answers in its
+// place before the deadline, however the checks fall.
+//
+// Callers got no answer at all (rule 1): a shard counted as silent after 250 ms alone, but answers leave only 200 ms before the deadline. A
+// request that was due in the first 100 ms after its shard had stopped was noticed when its deadline had passed, and then nothing may be sent.
+func TestOverdueIsAnsweredInTime(t *testing.T) {
+	const deadline, checkInterval, answerMargin = 5000.0, 50.0, 200.0 // serve checks four times in an answer margin
+	for stoppedAt := deadline - 2*answerMargin; stoppedAt < deadline-answerMargin; stoppedAt += 10 {
+		for phase := 0.0; phase < checkInterval; phase += 10 {
+			r := newRouter(2)
+			claim := r.mustRoute(t, 0, 1, atMostOnce, 7)
+			r.PermitAttempt(claim, shardownership.Attempt{Node: 3, Ticket: 9})
+			answeredAt := 0.0
+			for now := 4000 + phase; now < deadline && answeredAt == 0; now += checkInterval {
+				beats := []float64{now, now}
+				beats[claim.Shard] = min(now, stoppedAt)
+				if overdue := r.CheckHealth(now, beats, []float64{0, 0}).Overdue; len(overdue) > 0 {
+					answeredAt = now
+				}
+			}
+			if answeredAt == 0 {
+				t.Errorf("stopped %.0f ms before the deadline, checks at %.0f ms: no answer", deadline-stoppedAt, phase)
+			}
+		}
+	}
+}
--- a/internal/decide/watchdog/watchdog.go
+++ b/internal/decide/watchdog/watchdog.go
@@ -10,22 +10,18 @@
 
 // Times in milliseconds.
 const (
-	stallTimeout     = 2000  // without a sign of life while the process runs
-	silenceThreshold = 250   // without a sign of life; still to be expected on a busy machine
-	checkInterval    = 100   // between two checks
-	pauseThreshold   = 400   // between two checks, beyond which the process itself was paused
-	minRestartDelay  = 250   // before a fenced shard is started again, doubled with each failure
-	maxRestartDelay  = 10000 // limit of the doubling
-	stableAfter      = 30000 // after which earlier failures of a shard are forgotten
-	maxDoublings     = 10
+	stallTimeout    = 2000  // without a sign of life while the process runs
+	checkInterval   = 100   // between two checks
+	pauseThreshold  = 400   // between two checks, beyond which the process itself was paused
+	minRestartDelay = 250   // before a fenced shard is started again, doubled with each failure
+	maxRestartDelay = 10000 // limit of the doubling
+	stableAfter     = 30000 // after which earlier failures of a shard are forgotten
+	maxDoublings    = 10
 )
 
 // CheckInterval returns the time between two calls of Check, in ms.
 func CheckInterval() float64 { return checkInterval }
 
-// IsSilent reports whether a shard has given no sign of life for longer than its housekeeping takes: what expires there cannot wait.
-func IsSilent(now, lastBeatAt float64) bool { return now-lastBeatAt > silenceThreshold }
-
 // Watchdog watches the shards of a process.
 type Watchdog struct {
 	lastCheckAt float64
