serve: watch an added shard only once it has started

All stacks name the line of checkShards that looks up the shards to fence. The watchdog watched a shard from the moment of the change, but each start waits for the disk; after two seconds it asked to fence a shard that was not in the table.

A shard is watched from OnShardStarted on. A start that fails is told to the router (OnStartFailed), which asks for it again; before, it was found by the same fence. Fenced shards are started beside the check, which does not wait for the disk any more: meanwhile it can answer for other shards.

--- a/internal/decide/shardrouter/health.go
+++ b/internal/decide/shardrouter/health.go
@@ -60,7 +60,7 @@
 // Health is what a check of all shards asks for.
 type Health struct {
 	Fence   []int // shards to fence
-	Restart []int // fenced shards to start again
+	Restart []int // shards to start, each until OnShardStarted or OnStartFailed
 	Silent  []int // shards that have missed what is overdue
 	// Overdue are allocations of silent shards that are answered for them now.
 	Overdue []OrphanDecision
@@ -75,6 +75,9 @@
 	}
 	var h Health
 	h.Fence, h.Restart = r.watchdog.Check(now, beats)
+	for _, shard := range h.Restart { // starting takes as long as the disk takes
+		r.watchdog.Unwatch(shard)
+	}
 	for shard, beat := range beats {
 		if r.stopped[shard] || !r.hasMissedAnswers(now, beat) {
 			continue
@@ -105,10 +108,17 @@
 func (r *Router) OverdueMargin() float64 { return r.config.AnswerMargin * 3 / 4 }
 
 // OnShardStarted records that a shard runs in its next incarnation, whose epochs begin at a value. A draining shard still ends.
-func (r *Router) OnShardStarted(shard int, epoch uint32) {
+func (r *Router) OnShardStarted(now float64, shard int, epoch uint32) {
+	r.watchdog.Watch(now, shard)
 	r.ownership.Epoch = max(r.ownership.Epoch, epoch)
 	r.placement.MarkUp(shard)
 	if r.draining[shard] {
 		r.placement.MarkDraining(shard)
 	}
 }
+
+// OnStartFailed records that a shard could not be started. It is to be started again after a while.
+func (r *Router) OnStartFailed(now float64, shard int) {
+	r.watchdog.Watch(now, shard)
+	r.watchdog.Fence(now, shard)
+}
--- a/internal/decide/shardrouter/model_test.go
+++ b/internal/decide/shardrouter/model_test.go
@@ -112,7 +112,7 @@
 
 func (m *routerModel) start(shard int) {
 	m.incarnation++
-	m.router.OnShardStarted(shard, m.incarnation)
+	m.router.OnShardStarted(m.now, shard, m.incarnation)
 }
 
 // handOver has a shard give a service away, whether it belongs elsewhere or not: the number of shards may have changed in the meantime.
--- a/internal/decide/shardrouter/queue_model_test.go
+++ b/internal/decide/shardrouter/queue_model_test.go
@@ -96,7 +96,7 @@
 		}
 	}
 	m.incarnation++
-	m.router.OnShardStarted(shard, m.incarnation)
+	m.router.OnShardStarted(m.now, shard, m.incarnation)
 }
 
 // withdraw withdraws the oldest waiting request.
--- a/internal/decide/shardrouter/resize.go
+++ b/internal/decide/shardrouter/resize.go
@@ -32,7 +32,6 @@
 		case i < shards && r.stopped[i]:
 			delete(r.stopped, i)
 			r.addedAt[i] = now
-			r.watchdog.Watch(now, i)
 			change.Start = append(change.Start, i)
 		}
 	}
--- a/internal/decide/shardrouter/resize_test.go
+++ b/internal/decide/shardrouter/resize_test.go
@@ -33,8 +33,8 @@
 	if change := r.mustResize(t, 0, 3); !slices.Equal(change.Start, []int{1, 2}) || len(change.Drain) > 0 || r.IsStopped(1) || !r.IsStopped(3) {
 		t.Fatalf("%v start, %v drain", change.Start, change.Drain)
 	}
-	r.OnShardStarted(1, 5)
-	r.OnShardStarted(2, 6)
+	r.OnShardStarted(0, 1, 5)
+	r.OnShardStarted(0, 2, 6)
 	checkAddedShards(t, r)
 	if change := r.mustResize(t, 9000, 2); !slices.Equal(change.Drain, []int{2}) || !r.IsDraining(2) {
 		t.Errorf("%v drain", change.Drain)
--- a/internal/decide/watchdog/watchdog.go
+++ b/internal/decide/watchdog/watchdog.go
@@ -87,10 +87,10 @@
 // IsFenced reports whether a shard is fenced.
 func (w *Watchdog) IsFenced(index int) bool { return w.shards[index].fenced }
 
-// Watch records that a shard starts.
+// Watch records that a shard runs from now on. Its earlier failures count until it has run for a while.
 func (w *Watchdog) Watch(now float64, index int) {
-	w.shards[index] = shard{lastBeatAt: now, startedAt: now}
+	w.shards[index] = shard{lastBeatAt: now, startedAt: now, failures: w.shards[index].failures}
 }
 
-// Unwatch records that a shard has ended or does not run yet.
+// Unwatch records that a shard has ended or does not run yet: no sign of life is expected of it.
 func (w *Watchdog) Unwatch(index int) { w.shards[index].unwatched = true }
--- a/internal/lab/modelcheck/model.go
+++ b/internal/lab/modelcheck/model.go
@@ -355,7 +355,7 @@
 	}
 	to := p.toNode[s]
 	p.startShard(s)
-	p.router.OnShardStarted(s, p.incarnation[s])
+	p.router.OnShardStarted(p.now, s, p.incarnation[s])
 	for n := range nodes {
 		p.toNode[s][n] = append(to[n], p.toNode[s][n]...)
 	}
--- a/internal/serve/resize.go
+++ b/internal/serve/resize.go
@@ -15,11 +15,7 @@
 	if err != nil {
 		return err
 	}
-	for _, i := range change.Start {
-		if err := s.restart(i); err != nil {
-			return err
-		}
-	}
+	s.startShards(change.Start)
 	for _, sh := range shards {
 		sh.post(func(float64) { sh.engine.SetOpenLimit(maxOpen) })
 	}
--- a/internal/serve/shard_failover.go
+++ b/internal/serve/shard_failover.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"errors"
 	"fmt"
 	"math"
 
@@ -98,15 +99,39 @@
 	for _, sh := range toFence {
 		s.fence(sh, fmt.Sprintf("no sign of life for %.0f ms", now-heartbeats[sh.index]))
 	}
-	for _, index := range health.Restart {
-		if err := s.restart(index); err != nil {
-			s.log.Error().Str("mode", "shards").Int("shard", index).Err(err).Msg("not started again")
+	if len(health.Restart) > 0 { // it writes to the disk, which the next check must not wait for
+		s.async(func() { s.startShards(health.Restart) })
+	}
+}
+
+// errStartOrder reports that a shard waits for the start of one with a lower index.
+var errStartOrder = errors.New("a shard with a lower index has not started")
+
+// startShards starts new incarnations of shards, in ascending order of their indices. One that can't be started is tried again later.
+func (s *shardSet) startShards(indices []int) {
+	s.startMu.Lock()
+	defer s.startMu.Unlock()
+	for _, index := range indices {
+		if s.stopped.Load() {
+			return
+		}
+		if err := s.startShard(index); err != nil {
+			s.log.Error().Str("mode", "shards").Int("shard", index).Err(err).Msg("not started")
+			s.routerMu.Lock()
+			s.router.OnStartFailed(s.env.Now(), index)
+			s.routerMu.Unlock()
 		}
 	}
 }
 
-// restart starts a new incarnation of a fenced shard. The nodes name what runs for it.
-func (s *shardSet) restart(index int) error {
+// startShard starts a new incarnation of a shard. The nodes name what runs for it.
+func (s *shardSet) startShard(index int) error {
+	s.routerMu.Lock()
+	known := len(s.shards)
+	s.routerMu.Unlock()
+	if index > known {
+		return errStartOrder
+	}
 	sh, err := s.newShard(index)
 	if err != nil {
 		return err
@@ -125,7 +150,7 @@
 		s.shards = append(s.shards, sh)
 	}
 	s.incarnations[sh.incarnation] = sh
-	s.router.OnShardStarted(index, sh.incarnation)
+	s.router.OnShardStarted(s.env.Now(), index, sh.incarnation)
 	s.routerMu.Unlock()
 	s.initShard(sh)
 	if s.config.Site.Connections != site.OwnConnections {
--- a/internal/serve/shard_set.go
+++ b/internal/serve/shard_set.go
@@ -11,7 +11,7 @@
 
 // shardSet is the shards of the process, and the router that decides which shard acts for which allocation.
 //
-// routerMu is held for a few look-ups at a time. The package takes its locks in this order: nodeConnections, workingSet or zoneRouting,
+// routerMu is held for a few look-ups at a time. The package takes its locks in this order: startMu, nodeConnections, workingSet or zoneRouting,
 // routerMu, clientListener, clientConn or nodeLink, and an inbox last. The locks of the other parts are leaves that may be taken under any of
 // these; listClient's comes before those of the endpoint list and of maintenance.
 type shardSet struct {
@@ -24,6 +24,7 @@
 	connections *nodeConnections // that the shards share, if they do
 	initShard   func(*shard)     // posts to a shard that starts what it has to know
 	stalls      stallDetector
+	startMu     sync.Mutex // held while shards are started; taken before all others
 
 	routerMu     sync.Mutex // guards the fields below
 	router       *shardrouter.Router
@@ -61,7 +62,7 @@
 		sh.connections.attach(sh)
 		s.shards = append(s.shards, sh)
 		s.incarnations[sh.incarnation] = sh
-		s.router.OnShardStarted(i, sh.incarnation)
+		s.router.OnShardStarted(s.env.Now(), i, sh.incarnation)
 	}
 	return nil
 }
