serve: tell duplicates from open requests by the router's entries

The check of silent shards took the request for a duplicate, one that no entry accounts for, because it compared deadlines and a request had two: its connection counted from the arrival, the router from a moment later. On a busy machine a goroutine can wait between the two.

A request has one deadline now, and a duplicate is a request for which the router holds no open entry, so no clock can make one of an open request. TestSilentShardsAttemptIsNoDuplicate fails without the change.

--- a/internal/decide/shardownership/shardownership.go
+++ b/internal/decide/shardownership/shardownership.go
@@ -36,6 +36,12 @@
 	Number uint8
 }
 
+// RequestKey identifies a request by its client and the client's number of it.
+type RequestKey struct {
+	Client uint32
+	Ref    uint64
+}
+
 // Claim states that a shard acts for an allocation under an epoch. The table grants nothing to a claim that does not hold.
 type Claim struct {
 	ID    ID
@@ -103,6 +109,17 @@
 	return n
 }
 
+// OpenRequests returns the requests of the allocations that a shard acts for and that have no answer.
+func (t *Table) OpenRequests(shard int) map[RequestKey]bool {
+	open := map[RequestKey]bool{}
+	for _, entry := range t.entries {
+		if entry.Shard == shard && !entry.Answered {
+			open[RequestKey{entry.Client, entry.Ref}] = true
+		}
+	}
+	return open
+}
+
 // Entry returns an allocation's entry, nil if there is none. The caller must not change it.
 func (t *Table) Entry(id ID) *Entry { return t.entries[id] }
 
--- a/internal/decide/shardrouter/queue.go
+++ b/internal/decide/shardrouter/queue.go
@@ -22,7 +22,7 @@
 	urgency  []int // by job class
 	lastID   uint64
 	waiting  map[uint64]queuedRequest // by ID in the fair queue
-	byClient map[clientRef]uint64
+	byClient map[shardownership.RequestKey]uint64
 	retryAt  float64 // when to ask a shard again that was behind; 0: none was
 
 	capacity   Resources   // of the nodes that accept work
@@ -31,12 +31,6 @@
 	recentHeld []Resources // held, at the latest answers of the node list
 }
 
-// clientRef identifies a request by its client's number.
-type clientRef struct {
-	client uint32
-	ref    uint64
-}
-
 // queuedRequest is a request that waits.
 type queuedRequest struct {
 	Arrival
@@ -50,7 +44,7 @@
 		fill:     fairqueue.NewFillController(),
 		urgency:  urgencies(r.config),
 		waiting:  map[uint64]queuedRequest{},
-		byClient: map[clientRef]uint64{},
+		byClient: map[shardownership.RequestKey]uint64{},
 	}
 	q.fair.SetFree(0, 0, minOpenPerShard*r.config.MaxShards)
 	r.ownership.OnOpenChange = q.fair.AddOpen
@@ -177,7 +171,7 @@
 	if r.queue == nil {
 		return false
 	}
-	id, ok := r.queue.byClient[clientRef{client, ref}]
+	id, ok := r.queue.byClient[shardownership.RequestKey{Client: client, Ref: ref}]
 	if ok {
 		r.queue.fair.Remove(id)
 		r.queue.remove(id)
@@ -192,8 +186,8 @@
 	}
 	var refs []uint64
 	for key := range r.queue.byClient {
-		if key.client == client {
-			refs = append(refs, key.ref)
+		if key.Client == client {
+			refs = append(refs, key.Ref)
 		}
 	}
 	slices.Sort(refs)
@@ -240,12 +234,12 @@
 
 func (q *tenantQueue) add(id uint64, request queuedRequest) {
 	q.waiting[id] = request
-	q.byClient[clientRef{request.Request.Client, request.Request.Ref}] = id
+	q.byClient[shardownership.RequestKey{Client: request.Request.Client, Ref: request.Request.Ref}] = id
 }
 
 func (q *tenantQueue) remove(id uint64) queuedRequest {
 	request := q.waiting[id]
 	delete(q.waiting, id)
-	delete(q.byClient, clientRef{request.Request.Client, request.Request.Ref})
+	delete(q.byClient, shardownership.RequestKey{Client: request.Request.Client, Ref: request.Request.Ref})
 	return request
 }
--- a/internal/decide/shardrouter/route.go
+++ b/internal/decide/shardrouter/route.go
@@ -117,6 +117,11 @@
 // IsOwner reports whether a shard acts for an allocation under an epoch.
 func (r *Router) IsOwner(c shardownership.Claim) bool { return r.ownership.IsOwner(c) }
 
+// OpenRequests returns the requests at a shard that have no answer and for which the shard acts.
+func (r *Router) OpenRequests(shard int) map[shardownership.RequestKey]bool {
+	return r.ownership.OpenRequests(shard)
+}
+
 // SetClient changes the client that is notified of an allocation.
 func (r *Router) SetClient(c shardownership.Claim, client uint32, ref uint64) {
 	r.ownership.SetClient(c, client, ref)
--- a/internal/serve/client_conn.go
+++ b/internal/serve/client_conn.go
@@ -183,6 +183,14 @@
 	return ids
 }
 
+// isOverdue reports whether the deadline of a request is before a time.
+func (c *clientConn) isOverdue(id uint64, before float64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	request, ok := c.requests[id]
+	return ok && request.deadline < before
+}
+
 // overdue returns a request that is unanswered though its deadline is before a time, if there is one.
 func (c *clientConn) overdue(before float64) (id uint64, ok bool) {
 	c.mu.Lock()
--- a/internal/serve/client_requests.go
+++ b/internal/serve/client_requests.go
@@ -140,10 +140,9 @@
 
 // allocateRequest is a client's request for an allocation.
 type allocateRequest struct {
-	id        shardownership.ID
-	request   shardownership.Request // its deadline is set when it is submitted
-	remaining float64                // until its deadline, ms
-	unread    float64                // for which it lay unread beyond the client's usual delay, ms
+	id      shardownership.ID
+	request shardownership.Request
+	unread  float64 // for which it lay unread beyond the client's usual delay, ms
 }
 
 // onAllocate takes the call allocate.
@@ -169,7 +168,8 @@
 		unread = c.unreadFor(p.SentAt)
 		p.Within -= unread
 	}
-	if !c.openRequest(p.RequestID, c.listener.env.Now()+p.Within) {
+	deadline := c.listener.env.Now() + p.Within
+	if !c.openRequest(p.RequestID, deadline) {
 		return jrpc2.Errorf(jrpc2.InvalidParams, "ref: %d is not over", p.RequestID)
 	}
 	switch {
@@ -186,8 +186,9 @@
 		id: shardownership.ID{Tenant: tenant, Token: Token(p.Tenant, p.Key)},
 		request: shardownership.Request{
 			Client: c.id, Ref: p.RequestID, JobClass: jobClass, Service: Service(p.Tenant, p.Service), Cores: p.Cores, Memory: p.Memory,
+			Deadline: deadline,
 		},
-		remaining: p.Within, unread: unread,
+		unread: unread,
 	})
 	return nil
 }
--- a/internal/serve/dispatch.go
+++ b/internal/serve/dispatch.go
@@ -21,7 +21,6 @@
 // allocate has a request go to the shard that acts for its idempotency key already, else where the router puts it, or wait in a queue.
 func (s *shardSet) allocate(c *clientConn, r allocateRequest) {
 	now := s.env.Now()
-	r.request.Deadline = now + r.remaining
 	s.routerMu.Lock()
 	rejected := s.checkQuotaLease(now)
 	decision := s.router.Submit(now, shardrouter.Arrival{ID: r.id, Request: r.request, Unread: r.unread}, s.shardLoad(now))
@@ -220,12 +219,16 @@
 // Those whose deadline has passed are closed without an answer.
 func (s *shardSet) duplicateRequests(shard int, before float64) (all []duplicateRequest) {
 	now := s.env.Now()
+	open := s.router.OpenRequests(shard)
 	for _, c := range s.clients.connected() {
-		for _, ref := range c.unanswered(shard, now) {
-			c.closeRequest(ref)
-		}
 		for _, ref := range c.unanswered(shard, before) {
-			all = append(all, duplicateRequest{c, ref})
+			switch {
+			case open[shardownership.RequestKey{Client: c.id, Ref: ref}]: // an attempt may be out for it
+			case c.isOverdue(ref, now):
+				c.closeRequest(ref)
+			default:
+				all = append(all, duplicateRequest{c, ref})
+			}
 		}
 	}
 	return all
--- a/internal/serve/local_client.go
+++ b/internal/serve/local_client.go
@@ -37,15 +37,16 @@
 // Allocate requests an allocation as the call of the client protocol does. It reports whether the ref was free.
 func (l *LocalClient) Allocate(r LocalRequest) bool {
 	c := l.client
-	if !c.openRequest(r.Ref, c.listener.env.Now()+r.Within) {
+	deadline := c.listener.env.Now() + r.Within
+	if !c.openRequest(r.Ref, deadline) {
 		return false
 	}
 	c.listener.handler.allocate(c, allocateRequest{
 		id: shardownership.ID{Tenant: r.Tenant, Token: r.Token},
 		request: shardownership.Request{
 			Client: c.id, Ref: r.Ref, JobClass: r.JobClass, Service: r.Service, Cores: r.Cores, Memory: r.Memory,
+			Deadline: deadline,
 		},
-		remaining: r.Within,
 	})
 	return true
 }
--- /dev/null
+++ b/internal/serve/silent_shard_test.go
@@ -0,0 +1,49 @@
+package serve
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"ravenpond/internal/engine"
+)
+
+// TestSilentShardsAttemptIsNoDuplicate has a shard stand still after it has sent the only attempt for a request. The request waited for
+// its connection's lock on its way in, as on a busy machine. It is answered for the shard before its deadline, and the answer is "failed", because the
+// attempt may run.
+//
+// Callers were told "declined", that a retry is harmless, while the attempt ran (rule 2). A request had two deadlines: the connection counted
+// from the arrival of the request, the router from a moment later. In the time between the two the check of silent shards
+// found the request overdue by the first and the router's entry not yet overdue by the second, took the request for one that no entry
+// accounts for, and declined it as a duplicate. The log said "shard-quiet" for a request whose entry the router still held.
+func TestSilentShardsAttemptIsNoDuplicate(t *testing.T) {
+	s := newTestCluster(t, 1, 4, false)
+	siteConfig := *s.siteConfig
+	siteConfig.Shards, siteConfig.MaxShards = 2, 2
+	started := make(chan *Server, 1)
+	s.configure = func(config *Config) { config.OnLocalListener = func(l *LocalListener) { started <- l.server } }
+	release := make(chan struct{})
+	defer close(release)
+	s.start(0, siteConfig, withOffer(func(e engine.Effects, node uint32, offer engine.Offer) {
+		e.Offer(node, offer)
+		<-release
+	}))
+	server := <-started
+	time.Sleep(1800 * time.Millisecond) // the nodes are warm
+	c := connect(t, s.clients[0].SchedulerAddress())
+	waitFor(t, "its connection", func() bool { return len(server.clients.connected()) == 2 })
+	conn := server.clients.connected()[1]
+	conn.mu.Lock()
+	requested := make(chan error, 1)
+	go func() { requested <- c.allocate(1, "once", "k") }()
+	time.Sleep(140 * time.Millisecond) // three checks find the two deadlines apart
+	conn.mu.Unlock()
+	if err := <-requested; err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "an answer", func() bool { return len(c.notifications()) > 0 })
+	if got := c.notifications(); !slices.ContainsFunc(got, func(n string) bool { return strings.Contains(n, `"answer":"failed"`) }) {
+		t.Errorf("%v, want failed: the attempt may run", got)
+	}
+}
