shardrouter: move a service's home with its tasks in a handover

Callers saw one task more of a service on a node than its spread allows (rule 5) while shards were added and removed under load. A handover counted the tasks at their new shard but left the service without a home, so its next request went to the shard drawn by weight. The home now moves with the tasks. TestSpreadServiceStaysTogether fails without the change.

--- a/internal/decide/shardplacement/shardplacement.go
+++ b/internal/decide/shardplacement/shardplacement.go
@@ -178,6 +178,19 @@
 	return (float64(xxhash.Sum64(b[:])>>11) + 0.5) / (1 << 53)
 }
 
+// Move counts an allocation of a service at another shard from now on, and makes that shard the service's home. Without a home, the next
+// request of a service that was handed over would go to the shard that is drawn for it, which is another one as soon as a shard is slow.
+func (t *Table) Move(from, to int, service uint64) {
+	if from == to {
+		return
+	}
+	t.Remove(from, service)
+	if h, ok := t.homes[service]; ok && h.shard == from {
+		delete(t.homes, service)
+	}
+	t.Add(to, service)
+}
+
 // MarkDown excludes a shard.
 func (t *Table) MarkDown(shard int) {
 	if !t.shards[shard].down {
--- a/internal/decide/shardrouter/handover.go
+++ b/internal/decide/shardrouter/handover.go
@@ -68,8 +68,7 @@
 		return d
 	}
 	d.Disposition, d.Shard, d.Epoch = shardownership.Reassign, to, epoch
-	r.placement.Add(to, item.Request.Service)
-	r.placement.Remove(from, item.Request.Service)
+	r.placement.Move(from, to, item.Request.Service)
 	if item.Running { // it counts as lost until the other shard has it
 		r.addLost(now, item.ID, item.Request, r.ownership.Entry(item.ID).LastAttempt)
 	}
--- /dev/null
+++ b/internal/decide/shardrouter/spread_test.go
@@ -0,0 +1,45 @@
+package shardrouter
+
+import (
+	"testing"
+
+	"ravenpond/internal/decide/shardownership"
+)
+
+// spreadService routes two requests of a spread service, whose tasks run, and drains their shard. It returns what the shard holds.
+func (r *Router) spreadService(t *testing.T, service uint64) (giver int, items []HandoverItem) {
+	t.Helper()
+	for key := 1; key <= 2; key++ {
+		claim := r.mustRoute(t, 0, key, spread, service)
+		r.run(claim, shardownership.Attempt{Node: 3, Ticket: uint64(key)})
+		giver = claim.Shard
+		items = append(items, HandoverItem{
+			ID: claim.ID, Epoch: claim.Epoch, Running: true, Request: shardownership.Request{JobClass: spread, Service: service},
+		})
+	}
+	r.draining[giver] = true
+	r.placement.MarkDraining(giver)
+	return giver, items
+}
+
+// TestSpreadServiceStaysTogether hands a spread service over and has its new shard be slow before the service's next request: the request goes
+// to the shard that holds the tasks.
+//
+// Callers saw one task more of a service on a node than its spread allows (rule 5) while the number of shards changed under load. A handover
+// counted the tasks at their new shard but left the service without a home. Its next request went to the shard that is drawn for it by weight,
+// another one as soon as events waited over 5 ms at a shard, and that shard counted none of the tasks.
+func TestSpreadServiceStaysTogether(t *testing.T) {
+	for service := range uint64(40) {
+		r := newRouter(4)
+		giver, items := r.spreadService(t, service)
+		target := r.HandOver(100, giver, items)[0].Shard
+		delays := make([]float64, 4)
+		delays[target] = 500
+		for range 20 {
+			r.CheckHealth(200, []float64{200, 200, 200, 200}, delays)
+		}
+		if d := r.Route(300, arrival(3, spread, service, 5000), idle); d.Shard != target {
+			t.Errorf("service %d: its tasks are at shard %d, its next request goes to %d", service, target, d.Shard)
+		}
+	}
+}
