--- a/internal/decide/shardownership/shardownership.go
+++ b/internal/decide/shardownership/shardownership.go
@@ -120,6 +120,17 @@
 	return open
 }
 
+// CountService returns how many allocations of a service a shard acts for, and whether one of them is of a job class that isSpread selects.
+func (t *Table) CountService(shard int, service uint64, isSpread func(jobClass int) bool) (count int, spread bool) {
+	for _, entry := range t.entries {
+		if entry.Shard == shard && entry.Service == service {
+			count++
+			spread = spread || isSpread(entry.JobClass)
+		}
+	}
+	return count, spread
+}
+
 // Entry returns an allocation's entry, nil if there is none. The caller must not change it.
 func (t *Table) Entry(id ID) *Entry { return t.entries[id] }
 
--- a/internal/decide/shardrouter/spread_test.go
+++ b/internal/decide/shardrouter/spread_test.go
@@ -43,3 +43,33 @@
 		}
 	}
 }
+
+// TestSpreadServiceMovesWhole hands a spread service over while a request for it waits in its shard's inbox, which the shard knows nothing of:
+// the service stays until it can move as a whole.
+//
+// Callers saw one task more of a service on a node than its spread allows (rule 5) while the number of shards changed under load. The shard
+// gave the tasks that it knew away, then read the request and placed it without counting them. The longer events wait, the likelier it is.
+func TestSpreadServiceMovesWhole(t *testing.T) {
+	const service = 7
+	r := newRouter(4)
+	giver, items := r.spreadService(t, service)
+	inInbox := r.mustRoute(t, 50, 3, spread, service)
+	if inInbox.Shard != giver {
+		t.Fatalf("routed to %d, its service is at %d", inInbox.Shard, giver)
+	}
+	for i, d := range r.HandOver(100, giver, items) {
+		if d.Shard != giver {
+			t.Errorf("moved to shard %d without the request in the inbox", d.Shard)
+		}
+		items[i].Epoch = d.Epoch
+	}
+	if d := r.Route(150, arrival(4, spread, service, 5000), idle); !d.IsRejected() {
+		t.Error("a service that waits for its handover is not paused")
+	}
+	items = append(items, HandoverItem{ID: inInbox.ID, Epoch: inInbox.Epoch, Request: shardownership.Request{JobClass: spread, Service: service}})
+	for _, d := range r.HandOver(200, giver, items) {
+		if d.Shard == giver {
+			t.Error("not moved as a whole")
+		}
+	}
+}
