shardplacement: choose for services that must stay together by given weights

Callers saw one task more of a service on a node than its spread allows (rule 5) after a fence. Nodes name what runs one after the other; until the first task is taken over its service has no home, and each went to the shard of the highest draw by the weights of that moment, which fall where events wait. Allocations that must stay together are now drawn by the weights that shards were given, so the choice changes with the set of shards alone. TestPinnedServiceIgnoresLoad fails without the change: while one of four shards is slow, services change their shard.

--- a/internal/decide/shardplacement/shardplacement.go
+++ b/internal/decide/shardplacement/shardplacement.go
@@ -121,7 +121,7 @@
 		}
 	}
 	if pinned {
-		return t.best(service, false)
+		return t.bestByGivenWeight(service)
 	}
 	if shard := t.best(service, true); shard >= 0 {
 		return shard
@@ -152,13 +152,26 @@
 // best returns the shard of the highest score for a key, -1 if there is none; with bounded among those that are within their bound. The
 // score of a shard depends on itself alone, which makes the choice stable.
 func (t *Table) best(key uint64, bounded bool) int {
+	return t.highestScore(key, func(s *shard) (weight float64, ok bool) {
+		return s.weight, s.isOpen() && (!bounded || t.hasCapacity(s))
+	})
+}
+
+// bestByGivenWeight does the same by the weights that the shards were given, which no load changes: the choice for allocations that must stay
+// together may change only with the set of shards.
+func (t *Table) bestByGivenWeight(key uint64) int {
+	return t.highestScore(key, func(s *shard) (weight float64, ok bool) { return s.base, s.isOpen() })
+}
+
+// highestScore returns the shard of the highest score for a key among those that are accepted, -1 if none is.
+func (t *Table) highestScore(key uint64, accept func(s *shard) (weight float64, ok bool)) int {
 	best, highest := -1, math.Inf(-1)
 	for i := range t.shards {
-		s := &t.shards[i]
-		if !s.isOpen() || bounded && !t.hasCapacity(s) {
+		weight, ok := accept(&t.shards[i])
+		if !ok {
 			continue
 		}
-		if score := s.weight / -math.Log(draw(key, i)); score > highest {
+		if score := weight / -math.Log(draw(key, i)); score > highest {
 			best, highest = i, score
 		}
 	}
--- a/internal/decide/shardplacement/shardplacement_test.go
+++ b/internal/decide/shardplacement/shardplacement_test.go
@@ -138,3 +138,26 @@
 		x.Remove(at, i%1000)
 	}
 }
+
+// TestPinnedServiceIgnoresLoad chooses a shard for services that must stay together and have no home yet, again and again while shards are
+// slow by turns: the choice stays the same.
+//
+// Callers saw one task more of a service on a node than its spread allows (rule 5). After a fence nodes name what runs one after the other,
+// and until the first is taken over the service has no home: each task went to the shard of the highest draw by the weights of that moment,
+// which fall where events wait.
+func TestPinnedServiceIgnoresLoad(t *testing.T) {
+	x := New(ByService, ones(4))
+	for service := range uint64(100) {
+		first := x.Choose(service, 0, true)
+		for slow := range 4 {
+			for range 30 {
+				for i := range 4 {
+					x.OnDelay(i, map[bool]float64{true: 500}[i == slow])
+				}
+			}
+			if at := x.Choose(service, 0, true); at != first {
+				t.Fatalf("service %d: shard %d, then %d while shard %d was slow", service, first, at, slow)
+			}
+		}
+	}
+}
