shardrouter: ask whether a service may move before it is taken from its shard

BeginHandover now answers before anything is taken, and keeps new requests for the service away until EndHandover, or until the giver is fenced. A shard counts as empty only if its inbox is: what it gives comes back to it where the only other shard is fenced meanwhile.

--- a/internal/decide/shardrouter/handover.go
+++ b/internal/decide/shardrouter/handover.go
@@ -40,21 +40,36 @@
 	}
 }
 
+// BeginHandover reports whether a shard may give away a service, of which it knows a number of allocations. From then until EndHandover
+// the service gets nothing new.
+//
+// A service that must be spread is given as a whole: tasks at two shards are counted by neither. While a request for it waits in the inbox of
+// its shard, which knows nothing of it yet, the service stays, and is paused so that nothing more comes.
+func (r *Router) BeginHandover(now float64, shard int, service uint64, known int) bool {
+	held, spread := r.ownership.CountService(shard, service, r.isSpread)
+	if spread && held != known {
+		r.PauseServices(now, []uint64{service})
+		return false
+	}
+	if spread {
+		r.moving[service] = shard
+	}
+	return true
+}
+
+// EndHandover records that a service has been given away, or was not after all.
+func (r *Router) EndHandover(service uint64) { delete(r.moving, service) }
+
 // HandOver gives a service's allocations from a shard to the one where they belong now, in order. That may be the giver itself, because
-// the number of shards changed meanwhile, no other shard runs, or the giver left out a task of a service that moves as a whole, which is
-// then paused: they get a new epoch like any other. An allocation for which the giver
+// the number of shards changed meanwhile or no other shard runs: they get a new epoch like any other. An allocation for which the giver
 // does not act any more gets the disposition Continue.
 func (r *Router) HandOver(now float64, from int, items []HandoverItem) []OrphanDecision {
 	if len(items) == 0 {
 		return nil
 	}
 	to := r.placement.TargetOf(items[0].Request.Service, items[0].ID.Tenant)
-	switch {
-	case to < 0:
-		to = from
-	case r.splitsSpread(from, items):
+	if to < 0 {
 		to = from
-		r.PauseServices(now, []uint64{items[0].Request.Service})
 	}
 	r.ownership.NextEpoch()
 	var decisions []OrphanDecision
@@ -64,13 +79,6 @@
 	return decisions
 }
 
-// splitsSpread reports whether tasks of a service that must be spread would be at two shards after a handover: a request for the service is
-// on its way to the giver, which has not read it and leaves it out. Neither shard would count the other's tasks.
-func (r *Router) splitsSpread(from int, items []HandoverItem) bool {
-	held, spread := r.ownership.CountService(from, items[0].Request.Service, r.isSpread)
-	return spread && held > len(items)
-}
-
 func (r *Router) handOverItem(now float64, from, to int, item HandoverItem) OrphanDecision {
 	claim := shardownership.Claim{ID: item.ID, Shard: from, Epoch: item.Epoch}
 	d := OrphanDecision{Orphan: shardownership.Orphan{ID: item.ID, Entry: shardownership.Entry{Request: item.Request}, Disposition: shardownership.Continue}}
--- a/internal/decide/shardrouter/health.go
+++ b/internal/decide/shardrouter/health.go
@@ -1,6 +1,8 @@
 package shardrouter
 
 import (
+	"maps"
+
 	"ravenpond/internal/decide/shardownership"
 )
 
@@ -23,6 +25,7 @@
 func (r *Router) Fence(now float64, shard int) []OrphanDecision {
 	r.watchdog.Fence(now, shard)
 	r.placement.MarkDown(shard)
+	maps.DeleteFunc(r.moving, func(_ uint64, giver int) bool { return giver == shard })
 	var decisions []OrphanDecision
 	for _, orphan := range r.ownership.Fence(now, shard, r.config.AnswerMargin+minRoundsLeft*r.config.RoundInterval) {
 		decisions = append(decisions, r.decideOrphan(now, shard, orphan))
--- a/internal/decide/shardrouter/route.go
+++ b/internal/decide/shardrouter/route.go
@@ -82,6 +82,9 @@
 	case now < r.pausedUntil[a.Request.Service]:
 		return ShardFenced
 	}
+	if _, isMoving := r.moving[a.Request.Service]; isMoving {
+		return ShardFenced
+	}
 	if _, isLost := r.lost[a.ID]; isLost { // it runs at a node that has not reported it yet: an attempt now would start it twice
 		return ShardFenced
 	}
--- a/internal/decide/shardrouter/shardrouter.go
+++ b/internal/decide/shardrouter/shardrouter.go
@@ -43,6 +43,7 @@
 	lost          map[shardownership.ID]lostAllocation
 	lostByAttempt map[shardownership.Attempt]shardownership.ID
 	pausedUntil   map[uint64]float64 // services that get nothing new, until a time
+	moving        map[uint64]int     // services that are being given away, by the shard that gives
 	draining      map[int]bool       // shards that are to end
 	stopped       map[int]bool       // shards that have ended or never began
 	addedAt       map[int]float64    // when shards were added that still draw their services
@@ -64,6 +65,7 @@
 		lost:          map[shardownership.ID]lostAllocation{},
 		lostByAttempt: map[shardownership.Attempt]shardownership.ID{},
 		pausedUntil:   map[uint64]float64{},
+		moving:        map[uint64]int{},
 		draining:      map[int]bool{},
 		stopped:       map[int]bool{},
 		addedAt:       map[int]float64{},
--- a/internal/decide/shardrouter/spread_test.go
+++ b/internal/decide/shardrouter/spread_test.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// TestSpreadServiceMovesWhole hands a spread service over while a request for it waits in its shard's inbox, which the shard knows nothing of:
-// the service stays until it can move as a whole.
+// TestSpreadServiceMovesWhole begins to hand a spread service over while a request for it waits in its shard's inbox, which the shard knows
+// nothing of: the service stays until it can move as a whole, and gets nothing new while it moves.
 //
 // Callers saw one task more of a service on a node than its spread allows (rule 5) while the number of shards changed under load. The shard
 // gave the tasks that it knew away, then read the request and placed it without counting them. The longer events wait, the likelier it is.
@@ -57,19 +57,30 @@
 	if inInbox.Shard != giver {
 		t.Fatalf("routed to %d, its service is at %d", inInbox.Shard, giver)
 	}
-	for i, d := range r.HandOver(100, giver, items) {
-		if d.Shard != giver {
-			t.Errorf("moved to shard %d without the request in the inbox", d.Shard)
-		}
-		items[i].Epoch = d.Epoch
+	if r.BeginHandover(100, giver, service, len(items)) {
+		t.Error("given without the request in the inbox")
 	}
-	if d := r.Route(150, arrival(4, spread, service, 5000), idle); !d.IsRejected() {
+	next := func(now float64) Decision { return r.Route(now, arrival(4, spread, service, now+5000), idle) }
+	if d := next(150); !d.IsRejected() {
 		t.Error("a service that waits for its handover is not paused")
 	}
 	items = append(items, HandoverItem{ID: inInbox.ID, Epoch: inInbox.Epoch, Request: shardownership.Request{JobClass: spread, Service: service}})
-	for _, d := range r.HandOver(200, giver, items) {
-		if d.Shard == giver {
-			t.Error("not moved as a whole")
-		}
+	if !r.BeginHandover(1000, giver, service, len(items)) {
+		t.Fatal("not given though the shard knows all of it")
+	}
+	if d := next(1001); !d.IsRejected() {
+		t.Error("a service that moves gets something new")
+	}
+	target := r.HandOver(1002, giver, items)[0].Shard
+	r.EndHandover(service)
+	if d := next(1003); d.IsRejected() || d.Shard != target || target == giver {
+		t.Errorf("moved from %d to %d, the next request goes to %d, %s", giver, target, d.Shard, d.Reason)
+	}
+	if !r.BeginHandover(1004, target, service, 4) {
+		t.Fatal("not given again")
+	}
+	r.Fence(1005, target)
+	if len(r.moving) > 0 {
+		t.Error("a service moves for ever from a shard that was fenced")
 	}
 }
--- a/internal/serve/handover.go
+++ b/internal/serve/handover.go
@@ -72,22 +72,42 @@
 	s.router.PauseServices(now, remaining)
 	s.routerMu.Unlock()
 	for _, service := range services {
+		if !s.beginHandover(now, sh, service, shares) {
+			continue
+		}
 		var allocations []engine.Transfer
 		sh.engine.TransferOut(now, service, includeRunning, func(allocation engine.Transfer) { allocations = append(allocations, allocation) })
-		s.handOverService(now, sh, allocations)
+		s.handOverService(now, sh, service, allocations)
 	}
-	return leaving && sh.engine.IsIdle()
+	return leaving && sh.isEmpty()
+}
+
+// isEmpty reports whether a shard holds nothing, on its loop. What it gave and got back, because no other shard ran, waits in its inbox.
+func (sh *shard) isEmpty() bool { return sh.engine.IsIdle() && !sh.inbox.hasEvents() }
+
+// beginHandover reports whether a shard may give away a service now, on its loop.
+func (s *shardSet) beginHandover(now float64, sh *shard, service uint64, shares []handover.ServiceLoad) bool {
+	known := 0
+	for i := range shares {
+		if shares[i].Service == service {
+			known = shares[i].Waiting + shares[i].Running + shares[i].Unresolved
+		}
+	}
+	s.routerMu.Lock()
+	defer s.routerMu.Unlock()
+	return s.router.BeginHandover(now, sh.index, service, known)
 }
 
 // handOverService hands one service's allocations to its next shard, on the loop of the shard that gives. It holds routerMu throughout, so
 // that a request for one of them, or a fence of one of the two shards, comes before or after.
-func (s *shardSet) handOverService(now float64, sh *shard, allocations []engine.Transfer) {
+func (s *shardSet) handOverService(now float64, sh *shard, service uint64, allocations []engine.Transfer) {
 	items := make([]shardrouter.HandoverItem, 0, len(allocations))
 	for _, allocation := range allocations {
 		items = append(items, handoverItem(&allocation))
 	}
 	s.routerMu.Lock()
 	defer s.routerMu.Unlock()
+	defer s.router.EndHandover(service)
 	for i, fate := range s.router.HandOver(now, sh.index, items) {
 		allocation := allocations[i]
 		if fate.Disposition != shardownership.Reassign {
