--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -52,7 +52,7 @@
 	running    sync.WaitGroup
 	clients    []*standin.Client
 	lastKey    int
-	planned    float64 // requests that load should have made, had the machine run it in time
+	planned    float64       // requests that load should have made, had the machine run it in time
 	configure  func(*Config) // before a scheduler runs
 }
 
