standin: give nodes loopback addresses of their own

TestShortDay failed at times with 'listen tcp 127.0.0.1:39493: bind: address already in use' when a node came back after a fault. While a node is down its port is in the range from which the system gives ports to outgoing connections of all processes, which leave from 127.0.0.1. Not shown: which connection held the port in the runs seen.

A node now listens on an address of 127.0.0.0/8 that is its own and its process's, from which nothing leaves. The cluster's rig takes such addresses for the datagram ports that it chooses before it starts a scheduler; another process could take one between choice and bind ('did not begin within 10s').

--- a/internal/lab/cluster/routes.go
+++ b/internal/lab/cluster/routes.go
@@ -89,13 +89,12 @@
 func (r *Rig) addScheduler(i int) error {
 	name := fmt.Sprintf("s%03d", i)
 	x := &process{name: name, folder: filepath.Join(r.Dir, name)}
-	loop := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}
-	free, err := net.ListenUDP("udp4", loop)
+	free, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(standin.LoopbackHost(i))})
 	if err != nil {
 		return fmt.Errorf("rig: %w", err)
 	}
 	x.listen = free.LocalAddr().String()
-	if x.relay, err = net.ListenUDP("udp4", loop); err != nil {
+	if x.relay, err = net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}); err != nil {
 		return fmt.Errorf("rig: %w", err)
 	}
 	x.reservedConn = free
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -47,7 +47,7 @@
 func (tb *Testbed) StartNode(n *Node, start NodeStart) error {
 	address := start.Address
 	if address == "" {
-		address = anyLoopbackPort
+		address = LoopbackHost(int(n.ID)) + ":0"
 	}
 	n.testbed, n.incarnation, n.conns = tb, 1, map[string]*nodeConn{}
 	tb.WithLock(func(now float64) {
