serve: give an added shard the node list before it is given services

The router gave services to the shard before the list was posted to it, so that a handover could be read first and name nodes unknown to the shard. Until the nodes named the tasks, no shard counted them for their services' spread.

A shard is now registered, is told of the nodes, and only then counts as started. The nodes are still asked what they hold after that, as the answers go by the router.

--- a/internal/serve/shard_failover.go
+++ b/internal/serve/shard_failover.go
@@ -140,19 +140,11 @@
 		sh.connections = newNodeConnections(s, index)
 		sh.connections.attach(sh)
 	}
+	s.register(sh)
+	s.initShard(sh) // before it is given anything: a task at a node that it does not know it can't take over
 	s.routerMu.Lock()
-	if sh.connections == nil {
-		sh.connections = s.shards[0].connections
-	}
-	if index < len(s.shards) {
-		s.shards[index] = sh
-	} else {
-		s.shards = append(s.shards, sh)
-	}
-	s.incarnations[sh.incarnation] = sh
 	s.router.OnShardStarted(s.env.Now(), index, sh.incarnation)
 	s.routerMu.Unlock()
-	s.initShard(sh)
 	if s.config.Site.Connections != site.OwnConnections {
 		sh.connections.replayTo(sh)
 	}
@@ -161,6 +153,21 @@
 	return nil
 }
 
+// register has a shard that is being started get what is posted to all shards.
+func (s *shardSet) register(sh *shard) {
+	s.routerMu.Lock()
+	defer s.routerMu.Unlock()
+	if sh.connections == nil {
+		sh.connections = s.shards[0].connections
+	}
+	if sh.index < len(s.shards) {
+		s.shards[sh.index] = sh
+	} else {
+		s.shards = append(s.shards, sh)
+	}
+	s.incarnations[sh.incarnation] = sh
+}
+
 // requestID is a request of the router as the engine names it.
 func requestID(r *shardownership.Request) engine.RequestID {
 	return engine.RequestID{Client: r.Client, Number: r.Ref}
