serve: answer the requests that come while the process ends

The shards answered what they held once; what was read after that was taken as ever, until the connections were cut with what was open and queued on them. Ruled out: faults and load, as it comes with one shard on a quiet machine.

A closed engine declines what comes ('ends'). Once all shards have answered, what clients send is dropped without a reply, until nothing is open; requests that wait for their tenant's turn are rejected; connections are closed gracefully. Nothing is then taken that nobody answers for.

--- a/internal/decide/shardrouter/queue.go
+++ b/internal/decide/shardrouter/queue.go
@@ -1,6 +1,7 @@
 package shardrouter
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -196,6 +197,21 @@
 	}
 }
 
+// RejectWaiting ends the waiting of all requests, as the process is about to end, and returns decisions for them.
+func (r *Router) RejectWaiting() []Decision {
+	if r.queue == nil {
+		return nil
+	}
+	var rejected []Decision
+	for _, id := range slices.Sorted(maps.Keys(r.queue.waiting)) {
+		request := r.queue.waiting[id]
+		r.queue.fair.Remove(id)
+		r.queue.remove(id)
+		rejected = append(rejected, Decision{ID: request.ID, Request: request.Request, Reason: NotTaken})
+	}
+	return rejected
+}
+
 // SetTenant applies a tenant's policy. It returns decisions for the waiting requests of a tenant that takes nothing any more.
 func (r *Router) SetTenant(now float64, slot int, policy tenancy.Policy) []Decision {
 	r.queue.fair.SetLimits(now, slot, policy.Limits)
--- a/internal/decide/shardrouter/queue_test.go
+++ b/internal/decide/shardrouter/queue_test.go
@@ -160,3 +160,20 @@
 		t.Errorf("%+v", d)
 	}
 }
+
+// TestRejectWaiting ends the process while requests wait: each is rejected once, in the order in which they came.
+func TestRejectWaiting(t *testing.T) {
+	r := newFullRouter(t)
+	for ref := uint64(50); ref < 53; ref++ {
+		if d := r.Submit(0, tenantArrival(1, ref, ref), idle); !d.Queued {
+			t.Fatalf("%+v", d)
+		}
+	}
+	rejected := r.RejectWaiting()
+	if len(rejected) != 3 || rejected[0].Request.Ref != 50 || rejected[2].Request.Ref != 52 || rejected[0].Reason != NotTaken {
+		t.Errorf("%+v", rejected)
+	}
+	if again := r.RejectWaiting(); len(again) > 0 || len(newRouter(1).RejectWaiting()) > 0 {
+		t.Errorf("%+v", again)
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -36,6 +36,7 @@
 	config  Config
 
 	now           float64
+	closed        bool // each further request is declined
 	hasEvents     bool // something was reported since the last round
 	timers        timers.Heap[timerKind]
 	pauseDetector pausedetect.Detector
--- a/internal/engine/messages.go
+++ b/internal/engine/messages.go
@@ -138,6 +138,7 @@
 	ReasonWithdrawn      AnswerReason = "withdrawn"       // by the client
 	ReasonJustEnded      AnswerReason = "just-ended"      // declined: the earlier task of this key ended a moment ago
 	ReasonAlreadyOpen    AnswerReason = "open-already"    // declined: the same key is requested twice
+	ReasonEnding         AnswerReason = "ends"            // declined: the process ends
 	ReasonEarlierInDoubt AnswerReason = "earlier-try-out" // declined: an attempt for an earlier request may still start
 )
 
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -18,6 +18,10 @@
 		e.answerDuplicate(slot, r.ID)
 		return nil
 	}
+	if e.closed && r.Epoch > 0 {
+		e.declineAdmitted(&r, ReasonEnding)
+		return nil
+	}
 	if r.Epoch == 0 {
 		e.stats.Rejected++
 		e.effects.Answer(r.ID, Answer{Kind: Declined, Reason: ReasonJustEnded})
@@ -50,10 +54,15 @@
 
 // reject declines a request that is not taken.
 func (e *Engine) reject(r *Request, reason admission.Verdict) {
+	e.declineAdmitted(r, AnswerReason(reason.String()))
+}
+
+// declineAdmitted declines a request for which this engine acts, and acts for it no more.
+func (e *Engine) declineAdmitted(r *Request, reason AnswerReason) {
 	task := OwnedTask{TaskKey: r.Task.Key(), Epoch: r.Epoch}
 	e.stats.Rejected++
 	if e.effects.PermitAnswer(task, false) {
-		e.effects.Answer(r.ID, Answer{Kind: Declined, Reason: AnswerReason(reason.String())})
+		e.effects.Answer(r.ID, Answer{Kind: Declined, Reason: reason})
 	}
 	e.effects.ReleaseTask(task, r.Task.Service)
 }
@@ -181,9 +190,9 @@
 	}
 }
 
-// Close answers all open requests, as the process is about to end.
+// Close answers all open requests, as the process is about to end. Requests that come later are declined.
 func (e *Engine) Close(now float64) {
-	e.now = now
+	e.now, e.closed = now, true
 	for slot := range e.allocations {
 		if e.isInUse(slot) && !e.allocations[slot].answered {
 			e.withdrawAllocation(slot, true)
--- a/internal/serve/client_conn.go
+++ b/internal/serve/client_conn.go
@@ -57,7 +57,7 @@
 
 // OnData takes bytes of the client.
 func (c *clientConn) OnData(b []byte) {
-	if !c.admitBytes(len(b)) {
+	if c.listener.drops.Load() || !c.admitBytes(len(b)) {
 		return
 	}
 	if err := c.splitter.Feed(b, c.onMessage); err != nil {
@@ -85,8 +85,14 @@
 	c.listener.handler.onClientClosed(c.id)
 }
 
-// disconnect closes the connection. The first reason counts.
-func (c *clientConn) disconnect(reason string) {
+// disconnect closes the connection, and drops what is queued on it. The first reason counts.
+func (c *clientConn) disconnect(reason string) { c.end(reason, false) }
+
+// disconnectGracefully closes the connection once what is queued on it was sent. What the client still sends is read and dropped, as a reset
+// would take the last answers with it.
+func (c *clientConn) disconnectGracefully(reason string) { c.end(reason, true) }
+
+func (c *clientConn) end(reason string, graceful bool) {
 	c.mu.Lock()
 	first := !c.closed
 	c.closed = true
@@ -96,7 +102,7 @@
 	}
 	c.listener.log.Debug().Uint32("owner", c.id).Str("why", reason).Msg("owner's connection ends")
 	if c.conn != nil {
-		c.conn.Close(false, nil)
+		c.conn.Close(graceful, nil)
 	}
 }
 
--- a/internal/serve/client_listener.go
+++ b/internal/serve/client_listener.go
@@ -2,8 +2,10 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"ravenpond/internal/decide/connadmission"
 	"ravenpond/internal/env"
@@ -32,6 +34,7 @@
 	tenants  *tenantHosting
 	stalls   *stallDetector
 	listener env.Listener // set by listen, before the first client
+	drops    atomic.Bool  // what clients send is dropped
 
 	mu        sync.Mutex // guards the fields below
 	conns     map[uint32]*clientConn
@@ -140,10 +143,23 @@
 	return false
 }
 
-// disconnectAll closes all connections.
+// stopReading has what clients send from now on dropped: no reply tells them that it was taken.
+func (l *clientListener) stopReading() { l.drops.Store(true) }
+
+// hasOpenRequests reports whether a client has a request without an answer.
+func (l *clientListener) hasOpenRequests() bool {
+	for _, c := range l.connected() {
+		if _, ok := c.overdue(math.Inf(1)); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// disconnectAll closes all connections. What is queued on them is still sent.
 func (l *clientListener) disconnectAll(reason string) {
 	for _, c := range l.connected() {
-		c.disconnect(reason)
+		c.disconnectGracefully(reason)
 	}
 }
 
--- a/internal/serve/shutdown.go
+++ b/internal/serve/shutdown.go
@@ -28,7 +28,8 @@
 	total   engine.Stats
 }
 
-// Shutdown answers all that is open and ends the scheduler. It returns at once, and calls done once all is closed and saved.
+// Shutdown answers all that is open and ends the scheduler. Clients go on sending on the connections that they have: what is read meanwhile is
+// declined; once the shards have answered, nothing more is read. It returns at once, and calls done once all is closed and saved.
 func (s *Server) Shutdown(done func(error)) {
 	s.clients.stopAccepting()
 	s.metrics.close()
@@ -76,6 +77,11 @@
 	if d.waitsForShards(elapsed) {
 		return true
 	}
+	s.rejectWaiting()
+	s.clients.stopReading()
+	if s.clients.hasOpenRequests() && elapsed < shardCloseTimeout+clientFlushTimeout {
+		return true
+	}
 	if s.clients.hasQueuedAnswers() && elapsed < shardCloseTimeout+clientFlushTimeout {
 		return true
 	}
@@ -94,6 +100,14 @@
 	return false
 }
 
+// rejectWaiting answers the requests that wait for their tenant's turn.
+func (s *Server) rejectWaiting() {
+	s.routerMu.Lock()
+	rejected := s.router.RejectWaiting()
+	s.routerMu.Unlock()
+	s.rejectAll(rejected)
+}
+
 // disconnectAll closes all connections. What is queued at nodes' connections is still handed to the network: the last recalls go out.
 func (s *Server) disconnectAll() {
 	for _, sh := range s.liveShards() {
