--- a/internal/serve/client_listener.go
+++ b/internal/serve/client_listener.go
@@ -80,10 +80,10 @@
 	evicted := l.conns[evictedID]
 	l.mu.Unlock()
 	if evicted != nil {
-		evicted.disconnect("a stranger makes way for the next")
+		evicted.disconnect("unauthenticated connection closed for a new one")
 	}
 	if !accepted {
-		l.log.Warn().Str("mode", "owners").Int("most", l.config.Site.MaxClients).Msg("one turned away")
+		l.log.Warn().Str("mode", "owners").Int("most", l.config.Site.MaxClients).Msg("connection rejected, too many clients")
 		conn.Close(false, nil)
 		return
 	}
