--- a/cmd/ravenpond/lab.go
+++ b/cmd/ravenpond/lab.go
@@ -22,6 +22,7 @@
 	Shards      shardsCommand       `cmd:"" help:"Measure several shards, and check that no two ever act for one allocation."`
 	Maintenance maintenanceCommand  `cmd:"" help:"Simulate a month of maintenance windows."`
 	Run         runCommand          `cmd:"" help:"Simulate schedulers under faults drawn from seeds, and check the rules."`
+	Soak        soakCommand         `cmd:"" help:"Play scenarios with real processes of ravenpond platform, signals and sockets, and check the rules."`
 	Members     membershipCommand   `cmd:"" help:"Simulate or measure membership: which schedulers know of each other, and how soon."`
 	Cluster     clusterCommand      `cmd:"" help:"Run many scheduler processes on loopback under a script of faults."`
 	Balance     balanceCommand      `cmd:"" help:"Simulate how evenly many schedulers load nodes, compared with baseline policies."`
--- /dev/null
+++ b/cmd/ravenpond/lab_soak.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"ravenpond/internal/lab/platformsim"
+	"ravenpond/internal/lab/seeds"
+)
+
+// soakCommand plays scenarios with real processes of ravenpond platform, real signals and sockets.
+type soakCommand struct {
+	Seeds   string `default:"1:51" help:"Seeds A:B, without B; each takes 23 s."`
+	Workers int    `default:"3" help:"Seeds played at a time."`
+	Dir     string `default:"soak" help:"Folder for the configurations and logs of seeds that break a rule."`
+}
+
+// soakResult is what came of a seed.
+type soakResult struct {
+	platformsim.Result
+	err  error
+	took time.Duration
+}
+
+// Run plays the seeds and prints a line for each.
+func (c *soakCommand) Run(ctx context.Context) error {
+	first, end, err := parseSeedRange(c.Seeds)
+	if err != nil {
+		return err
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	results := seeds.Run(ctx, first, end, c.Workers, func(seed uint64) soakResult {
+		dir, began := filepath.Join(c.Dir, fmt.Sprint(seed)), time.Now()
+		r, err := platformsim.PlayOnSockets(ctx, seed, platformsim.SocketOptions{Command: []string{program}, Dir: dir})
+		if err == nil && r.Failure == "" {
+			err = os.RemoveAll(dir)
+		}
+		return soakResult{r, err, time.Since(began)}
+	})
+	broken := 0
+	for i := range results {
+		r := &results[i]
+		seed := first + uint64(i)
+		switch {
+		case r.err != nil:
+			broken++
+			fmt.Printf("seed %d, %.1f s: not played: %v\n", seed, r.took.Seconds(), r.err)
+		case r.Failure != "":
+			broken++
+			fmt.Printf("seed %d, %.1f s: %.1500s\n", seed, r.took.Seconds(), r.Failure)
+		case r.Requests == 0: // the context ended before it
+			fmt.Printf("seed %d: not played\n", seed)
+		default:
+			fmt.Printf("seed %d, %.1f s: kept, %d asks, %d served, %d found again, %d sent once more\n", seed, r.took.Seconds(), r.Requests, r.Served,
+				r.Restored, r.Resent)
+		}
+	}
+	fmt.Printf("broken: %d of %d\n", broken, len(results))
+	if broken > 0 {
+		return errBroken
+	}
+	return nil
+}
--- a/internal/lab/platformsim/faulty_env_test.go
+++ b/internal/lab/platformsim/faulty_env_test.go
@@ -48,7 +48,7 @@
 
 func (f forgetfulEnv) Dial(address string, within float64, done func(env.Conn, error)) {
 	f.Environment.Dial(address, within, func(c env.Conn, err error) {
-		if err == nil {
+		if err == nil && !strings.HasPrefix(address, "journal") { // which speaks another protocol
 			c = &forgetfulConn{Conn: c}
 		}
 		done(c, err)
--- a/internal/lab/platformsim/overload.go
+++ b/internal/lab/platformsim/overload.go
@@ -68,7 +68,7 @@
 	sm.after(endNoticeLimit+overloadSlack, func() {
 		if t.running && t.node == n && s.incarnation == incarnation && s.server != nil && !s.client.conn.closed && !pc.closed {
 			sm.fail(fmt.Sprintf("rule 1: task %x was over at %s, and %s did not tell its owner within a second, %.0f ms behind", t.id, n.name, s.name,
-				s.process.Backlog()))
+				s.server.Backlog()))
 		}
 	})
 }
--- /dev/null
+++ b/internal/lab/platformsim/sockets.go
@@ -0,0 +1,417 @@
+package platformsim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"ravenpond/internal/env"
+	"ravenpond/internal/platform"
+	"ravenpond/internal/standin"
+)
+
+// Times of scenarios on sockets.
+const (
+	startTimeout     = 10 * time.Second
+	startPoll        = 10 * time.Millisecond
+	endDelay         = 300 // ms after a process ended in which stand-ins read what it sent
+	listenRetry      = 20  // ms until a host tries again to listen, as its last incarnation may still hold the address
+	listenTries      = 100
+	closeTimeout     = time.Second
+	socketResultPoll = 50 * time.Millisecond
+)
+
+// Ports of addresses. They are below the range from which the system gives ports to outgoing connections.
+const (
+	firstSocketPort = 20000
+	socketPorts     = 10000
+)
+
+// socketAddresses counts the addresses of this process's worlds.
+var socketAddresses atomic.Int64
+
+// Limits of the scheduler processes.
+const (
+	socketMemoryMB = 192
+	socketLimit    = 300
+)
+
+// SocketOptions say how a seed is played on sockets.
+type SocketOptions struct {
+	Command []string // that runs `ravenpond platform`
+	Dir     string   // for configurations and logs
+}
+
+// PlayOnSockets plays a seed in real time, with processes of `ravenpond platform` between stand-ins on loopback. No link is cut and no scheduler
+// is overloaded, as on the virtual network; a crowd comes in each seed. The error says why the seed could not be played.
+func PlayOnSockets(ctx context.Context, seed uint64, options SocketOptions) (Result, error) {
+	if err := os.MkdirAll(options.Dir, 0o750); err != nil {
+		return Result{}, err
+	}
+	w := newSocketWorld(options)
+	defer w.close()
+	sm := newSimulation(seed, Faults{}, w)
+	w.sim = sm
+	w.locked(func() {
+		sm.build()
+		w.At(firstRequestAt, sm.sendNext)
+	})
+	for {
+		select {
+		case <-ctx.Done():
+			return Result{}, ctx.Err()
+		case <-time.After(socketResultPoll):
+		}
+		over := false
+		w.locked(func() { over = w.TrueTime() >= activeTime+settleTime || sm.result.Failure != "" || w.failed != nil })
+		if over {
+			break
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	sm.checkFinalState()
+	return sm.result, w.failed
+}
+
+// socketWorld is a world of real time and of sockets on loopback. It implements world. mu is held during all callbacks.
+type socketWorld struct {
+	options SocketOptions
+	clock   *env.Real // for the time alone
+	began   float64   // on that clock, ms
+
+	mu        sync.Mutex
+	sim       *simulation
+	closed    bool
+	failed    error // why it can't go on
+	addresses map[string]string
+	hosts     []*socketHost
+	programs  map[*socketProgram]bool // that have not ended
+}
+
+func newSocketWorld(options SocketOptions) *socketWorld {
+	clock := env.NewReal()
+	return &socketWorld{
+		options: options, clock: clock, began: clock.Now(), addresses: map[string]string{}, programs: map[*socketProgram]bool{},
+	}
+}
+
+// locked calls f as a callback, unless the world is closed.
+func (w *socketWorld) locked(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.closed {
+		f()
+	}
+}
+
+// close ends all hosts and processes.
+func (w *socketWorld) close() {
+	w.mu.Lock()
+	w.closed = true
+	hosts, programs := w.hosts, slices.Collect(maps.Keys(w.programs))
+	w.mu.Unlock()
+	for _, p := range programs {
+		_ = p.command.Process.Kill() // one that has ended needs no signal
+		<-p.done
+	}
+	for _, h := range hosts {
+		h.real.Close(closeTimeout)
+	}
+	w.clock.Close(closeTimeout)
+}
+
+// TrueTime implements world.
+func (w *socketWorld) TrueTime() float64 { return w.clock.Now() - w.began }
+
+// UnixTime implements world.
+func (w *socketWorld) UnixTime() float64 {
+	return float64(time.Now().UnixNano()) / float64(time.Millisecond)
+}
+
+// At implements world.
+func (w *socketWorld) At(ms float64, f func()) {
+	w.clock.After(max(0, ms-w.TrueTime()), func() { w.locked(f) })
+}
+
+// EndDelay implements world.
+func (w *socketWorld) EndDelay() float64 { return endDelay }
+
+// Address implements world: an address of this process's own, at which nothing else can listen meanwhile.
+func (w *socketWorld) Address(name string) string {
+	if w.addresses[name] == "" {
+		number := int(socketAddresses.Add(1))
+		w.addresses[name] = standin.LoopbackHost(number) + ":" + strconv.Itoa(firstSocketPort+number%socketPorts)
+	}
+	return w.addresses[name]
+}
+
+// Cut implements world. On loopback no link is cut.
+func (w *socketWorld) Cut(string, string, bool) {}
+
+// IsCut implements world.
+func (w *socketWorld) IsCut(string, string) bool { return false }
+
+// NewHost implements world.
+func (w *socketWorld) NewHost(string) host {
+	h := &socketHost{world: w}
+	w.hosts = append(w.hosts, h)
+	h.Start()
+	return h
+}
+
+// socketHost is a host with sockets of its own. Each incarnation has an environment, which is closed when the host is killed.
+type socketHost struct {
+	world *socketWorld
+	real  *env.Real
+}
+
+// Start implements host.
+func (h *socketHost) Start() {
+	h.real = env.NewReal()
+	h.real.WriteThrough = true
+}
+
+// Kill implements host. Peers see their connections end.
+func (h *socketHost) Kill(bool) { h.real.Close(0) }
+
+// callback returns f as a callback of the present incarnation.
+func (h *socketHost) callback(f func()) func() {
+	real := h.real
+	return func() {
+		h.world.locked(func() {
+			if h.real == real {
+				f()
+			}
+		})
+	}
+}
+
+// Now implements env.Environment.
+func (h *socketHost) Now() float64 { return h.real.Now() }
+
+// WallClock implements env.Environment.
+func (h *socketHost) WallClock() time.Time { return h.real.WallClock() }
+
+// After implements env.Environment.
+func (h *socketHost) After(ms float64, f func()) env.Timer { return h.real.After(ms, h.callback(f)) }
+
+// StartLoop implements env.Environment. Stand-ins of the platform have no loops.
+func (h *socketHost) StartLoop(turn func() float64) env.Loop { return h.real.StartLoop(turn) }
+
+// ListenPacket implements env.Environment.
+func (h *socketHost) ListenPacket(address string, onDatagram func([]byte)) (env.PacketConn, error) {
+	return h.real.ListenPacket(address, onDatagram)
+}
+
+// Dial implements env.Environment.
+func (h *socketHost) Dial(address string, timeoutMs float64, onDone func(env.Conn, error)) {
+	h.real.Dial(address, timeoutMs, func(c env.Conn, err error) {
+		h.callback(func() { onDone(h.wrap(c), err) })()
+	})
+}
+
+// Listen implements env.Environment. Where the address is still held it is tried again for a while.
+func (h *socketHost) Listen(address string, onAccept func(env.Conn)) (env.Listener, error) {
+	l := &socketListener{address: address}
+	h.listen(l, onAccept, listenTries)
+	return l, nil
+}
+
+func (h *socketHost) listen(l *socketListener, onAccept func(env.Conn), tries int) {
+	listener, err := h.real.Listen(l.address, func(c env.Conn) { h.callback(func() { onAccept(h.wrap(c)) })() })
+	switch {
+	case err == nil:
+		l.listener = listener
+	case tries > 0:
+		h.After(listenRetry, func() { h.listen(l, onAccept, tries-1) })
+	default:
+		h.world.failed = err
+	}
+}
+
+// socketListener implements env.Listener.
+type socketListener struct {
+	address  string
+	listener env.Listener // nil until the address is free
+}
+
+// Address implements env.Listener.
+func (l *socketListener) Address() string { return l.address }
+
+// Close implements env.Listener.
+func (l *socketListener) Close() {
+	if l.listener != nil {
+		l.listener.Close()
+	}
+}
+
+// wrap returns a connection whose events are callbacks of the host; nil for nil.
+func (h *socketHost) wrap(c env.Conn) env.Conn {
+	if c == nil {
+		return nil
+	}
+	return &socketConn{Conn: c, host: h}
+}
+
+// socketConn is a connection of a host.
+type socketConn struct {
+	env.Conn
+	host *socketHost
+}
+
+// Start implements env.Conn.
+func (c *socketConn) Start(handler env.ConnHandler, stallTimeoutMs float64) {
+	c.Conn.Start(&socketHandler{handler: handler, host: c.host}, stallTimeoutMs)
+}
+
+// Reset breaks the connection: what it still had to send is dropped.
+func (c *socketConn) Reset(bool) { c.Close(false, nil) }
+
+// Delivered returns how many bytes the scheduler has read, or may have: the kernel does not tell.
+func (c *socketConn) Delivered() uint64 { return 0 }
+
+// socketHandler passes the events of a connection on as callbacks of its host.
+type socketHandler struct {
+	handler env.ConnHandler
+	host    *socketHost
+}
+
+// OnData implements env.ConnHandler. The end of the peer's data is told by OnClose, which follows once this side closes too.
+func (s *socketHandler) OnData(b []byte) {
+	if b != nil {
+		s.host.callback(func() { s.handler.OnData(b) })()
+	}
+}
+
+// OnClose implements env.ConnHandler.
+func (s *socketHandler) OnClose(err error) { s.host.callback(func() { s.handler.OnClose(err) })() }
+
+// socketProgram is a scheduler process. It implements program.
+type socketProgram struct {
+	world   *socketWorld
+	sched   *scheduler
+	command *exec.Cmd
+	file    string // its configuration
+	done    chan struct{}
+}
+
+// Launch implements world.
+func (w *socketWorld) Launch(s *scheduler, config *platform.Configuration, ready func(program)) {
+	p := &socketProgram{
+		world: w, sched: s, file: filepath.Join(w.options.Dir, s.name+".json"), done: make(chan struct{}),
+		command: exec.Command(w.options.Command[0], append(slices.Clone(w.options.Command[1:]), "platform")...),
+	}
+	if err := p.writeConfiguration(config); err != nil {
+		w.failed = err
+		return
+	}
+	log, err := os.OpenFile(filepath.Join(w.options.Dir, s.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		w.failed = err
+		return
+	}
+	p.command.Env = append(os.Environ(), "GW_CONFIG="+p.file, "GW_NAME="+s.name, "GW_LISTEN="+s.address())
+	p.command.Stderr = &socketLog{world: w, sched: s, file: log}
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.command.Start(); err != nil {
+		w.failed = err
+		return
+	}
+	w.programs[p] = true
+	go p.wait(log)
+	p.awaitReady(time.Now().Add(startTimeout), ready)
+}
+
+// wait waits for the end of the process.
+func (p *socketProgram) wait(log *os.File) {
+	err := p.command.Wait()
+	p.world.mu.Lock()
+	delete(p.world.programs, p)
+	var exit *exec.ExitError
+	if killed := errors.As(err, &exit) && !exit.Exited(); err != nil && !killed && !p.world.closed {
+		p.world.sim.fail(fmt.Sprintf("%s ended: %v, see %s", p.sched.name, err, log.Name()))
+	}
+	p.world.mu.Unlock()
+	_ = log.Close()
+	close(p.done)
+}
+
+// awaitReady calls ready once clients can connect.
+func (p *socketProgram) awaitReady(end time.Time, ready func(program)) {
+	w := p.world
+	w.clock.Dial(p.sched.address(), float64(startTimeout/time.Millisecond), func(c env.Conn, err error) {
+		if err == nil {
+			c.Close(false, nil)
+		}
+		w.locked(func() {
+			switch {
+			case err == nil:
+				ready(p)
+			case time.Now().After(end):
+				w.failed = fmt.Errorf("%s did not start: %w", p.sched.name, err)
+			default:
+				w.At(w.TrueTime()+float64(startPoll/time.Millisecond), func() { p.awaitReady(end, ready) })
+			}
+		})
+	})
+}
+
+// writeConfiguration writes the configuration to the process's file.
+func (p *socketProgram) writeConfiguration(config *platform.Configuration) error {
+	text, err := json.Marshal(map[string]any{
+		"name": config.Name, "listen": config.Listen, "journal": config.Journal, "seed": strconv.FormatUint(config.Seed, 16),
+		"limits":   map[string]any{"cores": 1, "memory_mb": socketMemoryMB, "sockets": socketLimit},
+		"known":    json.RawMessage(config.InitialEvents),
+		"settings": json.RawMessage(p.sched.settings),
+	})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(p.file, text, 0o600)
+}
+
+// Stop implements program.
+func (p *socketProgram) Stop() { _ = p.command.Process.Signal(syscall.SIGTERM) }
+
+// Reload implements program.
+func (p *socketProgram) Reload(config *platform.Configuration) {
+	if err := p.writeConfiguration(config); err != nil {
+		p.world.failed = err
+		return
+	}
+	_ = p.command.Process.Signal(syscall.SIGHUP)
+}
+
+// Kill implements program.
+func (p *socketProgram) Kill() { _ = p.command.Process.Kill() }
+
+// Done implements program.
+func (p *socketProgram) Done() <-chan struct{} { return p.done }
+
+// Backlog implements program. It is not known from outside.
+func (p *socketProgram) Backlog() float64 { return 0 }
+
+// socketLog keeps a process's log and looks for what must not be in it.
+type socketLog struct {
+	world *socketWorld
+	sched *scheduler
+	file  *os.File
+}
+
+// Write implements io.Writer.
+func (l *socketLog) Write(b []byte) (int, error) {
+	l.world.locked(func() { _, _ = l.sched.Write(b) })
+	return l.file.Write(b)
+}
--- a/internal/lab/sim/conn.go
+++ b/internal/lab/sim/conn.go
@@ -100,6 +100,9 @@
 	return c.sent, len(c.outgoing), true
 }
 
+// Delivered returns how many of the bytes that were sent the other end has read.
+func (c *conn) Delivered() uint64 { return c.handedOver - uint64(c.inFlight) }
+
 // HandedOver implements env.Conn.
 func (c *conn) HandedOver() uint64 { return c.handedOverKnown }
 
--- a/internal/lab/sim/network.go
+++ b/internal/lab/sim/network.go
@@ -43,6 +43,9 @@
 // Cut has nothing pass between two hosts, or lets it pass again; no end is told.
 func (c *Clock) Cut(a, b string, cut bool) { c.link(a, b).cut = cut }
 
+// IsCut returns whether nothing passes between two hosts.
+func (c *Clock) IsCut(a, b string) bool { return c.link(a, b).cut }
+
 // Slow delays all between two hosts by up to so many ms more.
 func (c *Clock) Slow(a, b string, ms float64) { c.link(a, b).maxExtraDelay = ms }
 
