serve: look at the router's entries only for shards with a candidate

The check of silent shards built a table of all open requests of each shard that had no round for 50 ms, idle ones included, under the router lock and 20 times a second. It is built now when a request of the shard may be a duplicate. Nothing else changes.

--- a/internal/serve/dispatch.go
+++ b/internal/serve/dispatch.go
@@ -219,9 +219,12 @@
 // Those whose deadline has passed are closed without an answer.
 func (s *shardSet) duplicateRequests(shard int, before float64) (all []duplicateRequest) {
 	now := s.env.Now()
-	open := s.router.OpenRequests(shard)
+	var open map[shardownership.RequestKey]bool // most shards have no candidate, and need none
 	for _, c := range s.clients.connected() {
 		for _, ref := range c.unanswered(shard, before) {
+			if open == nil {
+				open = s.router.OpenRequests(shard)
+			}
 			switch {
 			case open[shardownership.RequestKey{Client: c.id, Ref: ref}]: // an attempt may be out for it
 			case c.isOverdue(ref, now):
