lab/cluster: record a caller under the relay's lock, and reset its unidentified connections

Only the test rig is concerned; no caller of a scheduler meets it.

Cause: the caller is learnt from the first bytes and was stored without the lock. Besides the race, a connection accepted before a reset and identified after it was missed by the reset and stayed open.

Change: the name is set under the lock, and a reset remembers how many connections had been accepted, so that one identified later is closed.

Measured: TestResetWhileCallersAreIdentified (data race at the two lines) and TestResetBeforeCallerIsKnown (connection stays open) fail without the change and pass with it.

--- a/internal/lab/cluster/relay.go
+++ b/internal/lab/cluster/relay.go
@@ -25,15 +25,18 @@
 	routes   func(who string) (there, back Route)
 	tasks    sync.WaitGroup
 
-	mu          sync.Mutex
+	mu          sync.Mutex // guards the fields below, and those of the connections
 	connections map[*relayedConn]bool
+	accepted    int            // number of connections accepted so far
+	resetBefore map[string]int // by caller: the number of connections accepted until its last reset
 	closed      bool
 }
 
 // relayedConn is a connection that passes a relay.
 type relayedConn struct {
+	number         int // position in the order in which the relay accepted connections
 	caller, callee net.Conn
-	callerName     string
+	callerName     string // empty until the caller is identified
 }
 
 const (
@@ -50,7 +53,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
-	r := &relay{listener: listener, target: target, callerOf: callerOf, routes: routes, connections: map[*relayedConn]bool{}}
+	r := &relay{listener: listener, target: target, callerOf: callerOf, routes: routes, connections: map[*relayedConn]bool{}, resetBefore: map[string]int{}}
 	r.tasks.Go(func() {
 		for {
 			caller, err := listener.Accept()
@@ -73,34 +76,29 @@
 		return
 	}
 	defer r.closeConn(c, false)
-	var first []byte
-	for known := false; !known; {
-		b := make([]byte, chunkBytes)
-		n, err := caller.Read(b)
-		if first = append(first, b[:n]...); err != nil || len(first) > maxGreeting {
-			return
-		}
-		c.callerName, known = r.callerOf(first)
+	name, first, ok := r.identify(caller)
+	if !ok {
+		return
+	}
+	if !r.setCaller(c, name) {
+		r.closeConn(c, true)
+		return
 	}
 	callee, err := net.DialTimeout("tcp4", r.target(), dialTimeout)
 	if err != nil {
 		return
 	}
-	r.mu.Lock()
-	c.callee = callee
-	closed := r.closed || !r.connections[c]
-	r.mu.Unlock()
-	if closed {
+	if !r.setCallee(c, callee) {
 		callee.Close()
 		return
 	}
 	both := make(chan bool, 2)
 	go func() {
-		forward(callee, io.MultiReader(bytes.NewReader(first), caller), func() Route { there, _ := r.routes(c.callerName); return there })
+		forward(callee, io.MultiReader(bytes.NewReader(first), caller), func() Route { there, _ := r.routes(name); return there })
 		both <- true
 	}()
 	go func() {
-		forward(caller, callee, func() Route { _, back := r.routes(c.callerName); return back })
+		forward(caller, callee, func() Route { _, back := r.routes(name); return back })
 		both <- true
 	}()
 	<-both
@@ -108,16 +106,51 @@
 	<-both
 }
 
+// identify reads the first bytes of a connection until they tell who the caller is. It returns the caller's name and the bytes read.
+func (r *relay) identify(caller net.Conn) (name string, first []byte, ok bool) {
+	for known := false; !known; {
+		b := make([]byte, chunkBytes)
+		n, err := caller.Read(b)
+		if first = append(first, b[:n]...); err != nil || len(first) > maxGreeting {
+			return "", nil, false
+		}
+		name, known = r.callerOf(first)
+	}
+	return name, first, true
+}
+
+// register adds a new connection. It returns false if the relay is closed.
 func (r *relay) register(c *relayedConn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed {
 		return false
 	}
+	r.accepted++
+	c.number = r.accepted
 	r.connections[c] = true
 	return true
 }
 
+// setCaller records the caller of a connection. It returns false if the caller's connections have been reset since this one was accepted.
+func (r *relay) setCaller(c *relayedConn, name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.callerName = name
+	return c.number > r.resetBefore[name]
+}
+
+// setCallee records the other end of a connection. It returns false if the connection has been closed meanwhile.
+func (r *relay) setCallee(c *relayedConn, callee net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || !r.connections[c] {
+		return false
+	}
+	c.callee = callee
+	return true
+}
+
 // closeConn closes both ends of a connection, on request with a TCP reset.
 func (r *relay) closeConn(c *relayedConn, reset bool) {
 	r.mu.Lock()
@@ -137,9 +170,10 @@
 	}
 }
 
-// reset closes all connections of a caller with a TCP reset.
+// reset closes all connections of a caller with a TCP reset. One whose caller is not identified yet is closed when it is.
 func (r *relay) reset(caller string) {
 	r.mu.Lock()
+	r.resetBefore[caller] = r.accepted
 	var all []*relayedConn
 	for c := range r.connections {
 		if c.callerName == caller {
--- a/internal/lab/cluster/relay_test.go
+++ b/internal/lab/cluster/relay_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -103,3 +106,91 @@
 		t.Error("the connection still works after a reset")
 	}
 }
+
+// startEchoRelay starts an echo server and a relay to it that takes the first byte of a connection for the caller's name.
+func startEchoRelay(t *testing.T) *relay {
+	t.Helper()
+	echo, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { echo.Close() })
+	go func() {
+		for {
+			c, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	callerOf := func(first []byte) (string, bool) { return string(first[:min(1, len(first))]), len(first) > 0 }
+	r, err := newRelay(func() string { return echo.Addr().String() }, callerOf, func(string) (there, back Route) { return Route{}, Route{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.close)
+	return r
+}
+
+// TestResetBeforeCallerIsKnown resets the connections of a caller after one was accepted and before its first bytes tell whose it is: that
+// connection ends too, and a later one of the same caller works.
+func TestResetBeforeCallerIsKnown(t *testing.T) {
+	const timeout = 10 * time.Second
+	r := startEchoRelay(t)
+	early, err := net.Dial("tcp4", r.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer early.Close()
+	for end := time.Now().Add(timeout); r.connectionCount() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	r.reset("a")
+	_, _ = early.Write([]byte("a"))
+	_ = early.SetReadDeadline(time.Now().Add(timeout))
+	if n, err := early.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a connection accepted before the reset: got %d bytes and error %v, want a closed connection", n, err)
+	}
+	late, err := net.Dial("tcp4", r.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer late.Close()
+	_, _ = late.Write([]byte("a"))
+	_ = late.SetReadDeadline(time.Now().Add(timeout))
+	if _, err := late.Read(make([]byte, 1)); err != nil {
+		t.Errorf("a connection accepted after the reset: %v", err)
+	}
+}
+
+// TestResetWhileCallersAreIdentified resets a caller's connections while others are being accepted and identified. Under the race detector it
+// guards against a caller's name that is written without the lock.
+func TestResetWhileCallersAreIdentified(t *testing.T) {
+	r := startEchoRelay(t)
+	var callers sync.WaitGroup
+	for range 20 {
+		callers.Go(func() {
+			for range 10 {
+				c, err := net.Dial("tcp4", r.address())
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = c.Write([]byte("a"))
+				r.reset("a")
+				_ = c.Close()
+			}
+		})
+	}
+	callers.Wait()
+}
+
+func (r *relay) connectionCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.connections)
+}
