platform: look for unread withdrawals before an attempt begins

The kernel was asked before an attempt whether the client had closed, never what it had sent. Ruled out: a full send window, and the lock, which the simulation does not have.

Change: env.Conn.Unread shows what was received and not processed, in the socket or at a reader that waits for the lock, and takes nothing out. Before an attempt's first byte and before an answer the scheduler looks there for a withdrawal, at each message once, at a connection at most once a millisecond. The simulation charges the look as a read. The two late attempts that the simulation allowed in a flood are allowed no more.

--- a/internal/env/conn.go
+++ b/internal/env/conn.go
@@ -29,6 +29,10 @@
 	writerDone   chan struct{}   // closed once everything is written and the socket is closed, at least for writing
 	stallTimeout time.Duration   // set by Start
 
+	readMu     sync.Mutex // held while bytes are taken out of the socket; guards the fields below
+	received   uint64     // bytes for which a call of OnData has returned
+	delivering []byte     // bytes that were taken out of the socket after these
+
 	mu            sync.Mutex // guards the fields below; Real.mu may be taken under it
 	started       bool
 	writerRunning bool
--- a/internal/env/conn_read.go
+++ b/internal/env/conn_read.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Sizes of read buffers in bytes. With write-through, a connection holds a buffer only while there is something to read, and the buffer is larger,
@@ -38,6 +40,7 @@
 	for {
 		buffer, n, err := c.readAvailable()
 		err = c.deliver(handler, (*buffer)[:n], err)
+		c.finishDelivery()
 		readBuffers.Put(buffer)
 		if err != nil {
 			return err
@@ -50,7 +53,7 @@
 func (c *realConn) readAvailable() (buffer *[]byte, n int, err error) {
 	waitErr := c.raw.Read(func(fd uintptr) bool {
 		buffer = takeReadBuffer()
-		n, err = readRetrying(int(fd), *buffer)
+		n, err = c.takeFromSocket(int(fd), *buffer)
 		if errors.Is(err, syscall.EAGAIN) {
 			readBuffers.Put(buffer)
 			buffer = nil
@@ -67,6 +70,50 @@
 	return buffer, n, err
 }
 
+// takeFromSocket reads from the socket into a buffer. Until finishDelivery is called, the bytes read count as unread.
+func (c *realConn) takeFromSocket(fd int, buffer []byte) (n int, err error) {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	n, err = readRetrying(fd, buffer)
+	c.delivering = buffer[:max(n, 0)]
+	return n, err
+}
+
+// finishDelivery records that OnData has returned for the bytes that were read last.
+func (c *realConn) finishDelivery() {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	c.received += uint64(len(c.delivering))
+	c.delivering = nil
+}
+
+// Unread implements Conn. Without write-through the socket is not looked at.
+func (c *realConn) Unread(buffer []byte) (from uint64, unread []byte) {
+	if c.raw == nil {
+		return 0, buffer
+	}
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	unread = append(buffer, c.delivering...)
+	_ = c.raw.Control(func(fd uintptr) { unread = appendSocketData(int(fd), unread) }) // an error means that the socket is closed
+	return c.received, unread
+}
+
+// appendSocketData appends what can be read from a socket, without taking it out of the socket.
+func appendSocketData(fd int, b []byte) []byte {
+	waiting, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
+	if err != nil || waiting <= 0 {
+		return b
+	}
+	before := len(b)
+	b = slices.Grow(b, min(waiting, MaxUnread))
+	n, _, err := unix.Recvfrom(fd, b[before:before+min(waiting, MaxUnread)], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	if err != nil {
+		return b[:before]
+	}
+	return b[:before+n]
+}
+
 func takeReadBuffer() *[]byte {
 	buffer, _ := readBuffers.Get().(*[]byte) // the pool holds no other type
 	return buffer
--- a/internal/env/conn_test.go
+++ b/internal/env/conn_test.go
@@ -82,6 +82,37 @@
 	}
 }
 
+// TestUnread checks that Unread returns what was received and not processed yet, whether the reader has taken it out of the socket or not.
+func TestUnread(t *testing.T) {
+	r := NewReal()
+	defer r.Close(5 * time.Second)
+	h := newBlockedHandler()
+	c, peer := connectedPair(t, r, h, 1000)
+	waitForUnread := func(wantFrom uint64, want string) {
+		t.Helper()
+		var from uint64
+		var unread []byte
+		waitUntil(t, "Unread returns "+want, func() bool {
+			from, unread = c.Unread([]byte("kept "))
+			return string(unread) == "kept "+want
+		})
+		if from != wantFrom {
+			t.Errorf("got position %d for %q, want %d", from, unread, wantFrom)
+		}
+	}
+	waitForUnread(0, "")
+	_, _ = peer.Write([]byte("first"))
+	<-h.data // the reader goroutine is blocked from here on
+	waitForUnread(0, "first")
+	_, _ = peer.Write([]byte("second"))
+	waitForUnread(0, "firstsecond")
+	close(h.release)
+	if got := <-h.data; got != "second" {
+		t.Errorf("got data %q after a look at it, want %q", got, "second")
+	}
+	waitForUnread(uint64(len("firstsecond")), "")
+}
+
 // TestGracefulClose closes a connection gracefully while it has unread data, which must not reset it: the peer must read all that was sent and
 // then EOF, even if it sends after the close or reads late. Once the peer closes, the connection must be removed.
 func TestGracefulClose(t *testing.T) {
--- a/internal/env/env.go
+++ b/internal/env/env.go
@@ -40,6 +40,9 @@
 // MaxDatagram is the maximum length of a datagram in bytes. Longer ones are not sent.
 const MaxDatagram = 1400
 
+// MaxUnread is the maximum number of bytes that Conn.Unread looks at in a socket.
+const MaxUnread = 256 << 10
+
 // PacketConn sends and receives datagrams. They may be lost, duplicated, delayed and reordered.
 type PacketConn interface {
 	// Address returns the local address.
@@ -97,6 +100,9 @@
 	// PeerClosed returns whether the peer has closed its side or reset the connection, even if data that it sent before is still unread. It
 	// returns false where that cannot be determined.
 	PeerClosed() bool
+	// Unread appends to buffer the received bytes for which no call of OnData has returned, also those that still lie in the socket, oldest first
+	// and as far as they can be determined, up to MaxUnread. from is the position in the received stream of the first of them.
+	Unread(buffer []byte) (from uint64, unread []byte)
 	// Close ends the connection. A graceful close first sends the queue, then the final bytes, as far as the peer still receives, and then keeps
 	// reading for a limited time until the peer closes too, because closing with unread data would reset the connection and discard what was
 	// sent. Any other close drops the queue and sends only the final bytes.
--- a/internal/lab/platformsim/abandoned.go
+++ b/internal/lab/platformsim/abandoned.go
@@ -7,10 +7,8 @@
 	codec "ravenpond/internal/proto/platform"
 )
 
-const (
-	abandonGrace    = 100 // ms after a request is abandoned during which attempts may still begin
-	maxLateAttempts = 2   // attempts that may begin later under overload, because an overloaded scheduler reads late
-)
+// abandonGrace is the time after a request is abandoned during which attempts may still begin, in ms.
+const abandonGrace = 100
 
 // observedEnvironment wraps a scheduler's environment and observes each attempt when it is sent.
 type observedEnvironment struct {
@@ -66,8 +64,5 @@
 	if t.abandonedAt == 0 || now <= t.abandonedAt+abandonGrace {
 		return
 	}
-	if sm.lateAttempts++; sm.overload != nil && sm.lateAttempts <= maxLateAttempts {
-		return
-	}
 	sm.fail(fmt.Sprintf("gone: an attempt for request %d began %.0f ms after its client had abandoned it", id, now-t.abandonedAt))
 }
--- a/internal/lab/platformsim/simulation.go
+++ b/internal/lab/platformsim/simulation.go
@@ -89,22 +89,21 @@
 // simulation is the state of a seed that is being played.
 type simulation struct {
 	Faults
-	result       Result
-	clock        world
-	rng          *rand.Rand
-	auditor      *audit.Auditor
-	rules        audit.Rules
-	schedulers   []*scheduler
-	nodes        []*node
-	listChanges  []listChange // all changes so far, in order
-	tasks        map[uint64]*task
-	lastTask     uint64
-	reportMode   string    // how nodes send load reports: with other messages ("piggyback") or in answer to probes ("probe")
-	overload     *overload // nil without overload; code then takes no simulated time
-	crowdFactor  int       // request rate of a flash crowd as a multiple of the usual rate
-	crowdFrom    float64   // true time in ms
-	crowdTo      float64   // true time in ms
-	lateAttempts int       // attempts that began long after their request was abandoned
+	result      Result
+	clock       world
+	rng         *rand.Rand
+	auditor     *audit.Auditor
+	rules       audit.Rules
+	schedulers  []*scheduler
+	nodes       []*node
+	listChanges []listChange // all changes so far, in order
+	tasks       map[uint64]*task
+	lastTask    uint64
+	reportMode  string    // how nodes send load reports: with other messages ("piggyback") or in answer to probes ("probe")
+	overload    *overload // nil without overload; code then takes no simulated time
+	crowdFactor int       // request rate of a flash crowd as a multiple of the usual rate
+	crowdFrom   float64   // true time in ms
+	crowdTo     float64   // true time in ms
 }
 
 // Play plays a seed with injected faults.
--- a/internal/lab/sim/conn.go
+++ b/internal/lab/sim/conn.go
@@ -50,8 +50,9 @@
 	stalledUntil float64
 	beforeStart  []func() // events that arrived before Start
 
-	// Used where code takes time: the bytes that arrived and were not read, and whether a read is scheduled.
+	// Used where code takes time: the bytes that arrived and were not read, how many have arrived in all, and whether a read is scheduled.
 	unread        []byte
+	arrived       uint64
 	reading       bool
 	deliveryWaits []deliveryWait
 }
@@ -119,6 +120,12 @@
 // PeerClosed implements env.Conn.
 func (c *conn) PeerClosed() bool { return c.remoteClosed || c.closed }
 
+// Unread implements env.Conn. Where code takes no time, nothing lies unread.
+func (c *conn) Unread(buffer []byte) (from uint64, unread []byte) {
+	c.process.charge(func(cost *CPUCost) float64 { return cost.Read })
+	return c.arrived - uint64(len(c.unread)), append(buffer, c.unread...)
+}
+
 // Close implements env.Conn.
 func (c *conn) Close(soft bool, last []byte) {
 	if c.ended || c.closed {
@@ -231,6 +238,7 @@
 		return
 	}
 	if c.process.cpu != nil { // one read takes all segments that wait
+		c.arrived += uint64(len(segment))
 		if c.unread = append(c.unread, segment...); !c.reading {
 			c.reading = true
 			c.dispatch(c.read)
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -17,6 +17,7 @@
 	server       *Server
 	number       uint64 // the position in the order in which connections were accepted
 	conn         env.Conn
+	received     uint64 // bytes that were passed to OnData
 	partial      []byte // the received part of an incomplete message
 	partialSince float64
 	acceptedAt   float64
@@ -24,11 +25,12 @@
 	openRequests map[uint64]*request // requests without a final answer, by the client's task number
 	running      map[*request]bool   // tasks whose answers were sent on this connection
 	unconfirmed  []*request          // running tasks whose answers were not yet handed to the kernel when the connection was closed
-	rejections   []byte              // answers to rejected requests, sent together once all received bytes are processed
-	active       bool                // a valid request or a test message was received
-	requested    bool                // a valid request for a new task was received
-	verified     bool                // a request was answered with a running task
-	provisional  bool                // it is beyond the limit of connections, and not promoted yet
+	unread       unreadWithdrawals
+	rejections   []byte // answers to rejected requests, sent together once all received bytes are processed
+	active       bool   // a valid request or a test message was received
+	requested    bool   // a valid request for a new task was received
+	verified     bool   // a request was answered with a running task
+	provisional  bool   // it is beyond the limit of connections, and not promoted yet
 	closed       bool
 }
 
@@ -57,6 +59,7 @@
 		return
 	}
 	now := s.env.Now()
+	c.received += uint64(len(b))
 	if b == nil {
 		c.close()
 		return
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -48,9 +48,11 @@
 	return t
 }
 
-// clientGone reports whether the client of a request has closed its connection. No attempt is made and nothing is sent for it then, even though
-// bytes that the client sent before may still be unread.
-func (r *request) clientGone() bool { return r.client == nil || !r.client.isOpen() }
+// clientGone reports whether the client of a request has closed its connection or has withdrawn the request. No attempt is made and nothing is
+// sent for it then, even though bytes that the client sent before, or the withdrawal itself, may still be unread.
+func (r *request) clientGone() bool {
+	return r.client == nil || !r.client.isOpen() || r.client.hasUnreadWithdrawal(r.task)
+}
 
 // placement returns the request in the form that the host takes.
 func (r *request) placement() logic.Request {
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -47,7 +47,9 @@
 	names    nameIndex
 	limits   budget.Limits
 
-	mu        sync.Mutex // guards the parts below
+	mu           sync.Mutex // guards the parts below
+	unreadBuffer []byte     // reused by the looks at what clients have sent
+
 	host      *host.Host
 	loop      turnLoop
 	load      loadMonitor
