platform: answer requests ahead of their deadlines while the loop lags

Cause: deadlines are timers of the event loop, 4 ms before the deadline; a loop that lags by more fires them after it. The lag is measured each turn and used for time-outs and new requests, not for the deadlines of accepted ones.

Change: the host's deadlines have a lead, the lag of this turn or of the last ones, whichever is more. What is due within it is answered: declined if nothing is out and a retry is safe, else failed. 0 at a lag of 8 ms or less.

Measured: TestAnswerLead fails without the lead.

--- a/internal/decide/overload/overload.go
+++ b/internal/decide/overload/overload.go
@@ -13,6 +13,7 @@
 	halfLife        = 150  // half-life of a measured delay
 	minDelay        = 8    // shorter delays are usual and ignored
 	maxTimeoutGrace = 400  // longest extension of a time-out
+	maxAnswerLead   = 400  // longest time before a deadline at which a request is answered
 	batchDuration   = 8    // work of the new requests that a round starts; a longer round would delay the reading of messages
 	minBatchSize    = 4    // requests that a round may start at least
 	minRequestTime  = 0.01 // prevents a division by zero
@@ -47,6 +48,15 @@
 	return 0
 }
 
+// AnswerLead returns the number of ms before a client's deadline at which its request has to be answered, in a round that was due at a time: the
+// next round, and what it sends, may be as late as this one.
+func (m *Monitor) AnswerLead(due, now float64) float64 {
+	if delay := max(m.Delay(now), now-due); delay > minDelay {
+		return min(delay, maxAnswerLead)
+	}
+	return 0
+}
+
 // RemainingTime returns how much is left of the time, in ms, that a client grants a request that is read now. The request lay unread for the
 // delay, and its answer will be delayed as long.
 func (m *Monitor) RemainingTime(now, granted float64) float64 {
--- a/internal/decide/overload/overload_test.go
+++ b/internal/decide/overload/overload_test.go
@@ -64,3 +64,23 @@
 		t.Errorf("got batch sizes %d for 8 ms and %d for 0.1 ms, want 1 and 80 above the minimum and none smaller for 0 ms", small, large)
 	}
 }
+
+func TestAnswerLead(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		delay, due, want float64
+	}{
+		{"short delay that is ignored", 5, 0, 0},
+		{"delay of earlier rounds", 50, 0, 50},
+		{"this round is late", 5, 60, 60},
+		{"long delay", 600, 0, maxAnswerLead},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var monitor Monitor
+			monitor.OnRound(0, c.delay, c.delay)
+			if got := monitor.AnswerLead(c.delay-c.due, c.delay); got != c.want {
+				t.Errorf("got %g ms, want %g", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/platform/host/allocations.go
+++ b/internal/platform/host/allocations.go
@@ -46,7 +46,7 @@
 	a := &allocation{request: request}
 	id := h.add(a)
 	h.openCount++
-	h.timers.Set(request.Deadline, timerDeadline, uint64(id))
+	h.deadlines.Set(request.Deadline, timerDeadline, uint64(id))
 	h.callModule(func(m *logic.Scheduler) { m.OnRequest(h.now, a.request) })
 	return id
 }
@@ -89,10 +89,12 @@
 	}
 }
 
-// onDeadline answers an open request as failed, because its client stops waiting.
+// onDeadline answers an open request, because its client stops waiting or will have stopped when a later answer arrives: shed where a retry is
+// safe, else failed.
 func (h *Host) onDeadline(id uint32) {
 	if a := h.allocations[id]; a != nil && !a.answered {
-		h.answer(a, false)
+		semantics := h.supervisor.cluster.JobClasses[a.request.Class].Semantics
+		h.answer(a, !a.inFlight && outcome.IsRetrySafeAfterLoss(semantics, a.attempts))
 		h.abandon(a)
 	}
 }
--- a/internal/platform/host/host.go
+++ b/internal/platform/host/host.go
@@ -61,6 +61,7 @@
 	lastRound      float64
 	hasEvents      bool // an event was reported since the last round
 	timers         timers.Heap[timerKind]
+	deadlines      timers.Heap[timerKind] // when clients stop waiting; timers of kind timerDeadline
 	allocations    map[uint32]*allocation
 	lastID         uint32 // last ID of an allocation or probe; they share one sequence, so a late probe answer never matches an allocation
 	probes         map[uint32]pendingProbe
@@ -68,6 +69,7 @@
 	openCount      int // number of allocations without a final answer
 	runningCount   int // number of allocations whose tasks run on nodes
 	timeoutGrace   float64
+	answerLead     float64
 	probeTimeout   float64
 }
 
@@ -93,6 +95,10 @@
 // received that are not read yet.
 func (h *Host) SetTimeoutGrace(ms float64) { h.timeoutGrace = ms }
 
+// SetAnswerLead sets by how many ms before their deadlines open requests are answered, because an answer that is decided later would leave
+// after the deadline.
+func (h *Host) SetAnswerLead(ms float64) { h.answerLead = ms }
+
 // SetConnectTimeout sets how long connecting to a node may take, in ms. The time-out of probes allows for it, because a probe may have to wait
 // for a connection.
 func (h *Host) SetConnectTimeout(ms float64) { h.probeTimeout = outcome.ProbeTimeoutFor(ms) }
@@ -127,6 +133,9 @@
 	if !ok {
 		at = h.now + idleRoundDelay
 	}
+	if deadline, ok := h.deadlines.First(); ok {
+		at = min(at, deadline-h.answerLead)
+	}
 	if h.hasEvents {
 		at = h.now
 	}
--- a/internal/platform/host/host_timing_test.go
+++ b/internal/platform/host/host_timing_test.go
@@ -62,6 +62,35 @@
 	}
 }
 
+// TestAnswerLead checks that a host whose answers leave late answers each request that much before its deadline, once, and makes no attempt for it
+// later. It guards against answers that arrive after the deadline because the process lags behind its timers.
+func TestAnswerLead(t *testing.T) {
+	const lead = 120
+	for _, c := range []struct {
+		name  string
+		class int
+		nodes int
+		want  string
+	}{
+		{"no node, never attempted", atMostOnce, 0, "answer 1 shed, forget 1"},
+		{"attempt in flight", atMostOnce, 4, "answer 1 failed, cancel 1.0, forget 1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newHarness(t, c.nodes)
+			s.request(c.class)
+			s.host.SetAnswerLead(lead)
+			s.advance(2500 - lead - 10)
+			if got := s.takeEffects(); strings.Contains(got, "answer") {
+				t.Errorf("before the lead: effects %q, want no answer", got)
+			}
+			s.advance(20)
+			s.expectEffects("at the lead", c.want)
+			s.advance(200)
+			s.expectEffects("after the answer", "")
+		})
+	}
+}
+
 // TestProbeTimeout checks that the time-out of a health check allows for a connection that takes long, and that the check stays pending until
 // then.
 func TestProbeTimeout(t *testing.T) {
--- a/internal/platform/host/timers.go
+++ b/internal/platform/host/timers.go
@@ -33,19 +33,18 @@
 
 func fromProbeKey(key uint64) (node, seq uint32) { return uint32(key >> 32), uint32(key) }
 
-// fireTimers fires all timers that are due.
+// fireTimers fires all timers that are due, and then the deadlines of requests that are due within answerLead.
 func (h *Host) fireTimers() {
-	for {
-		timer, ok := h.timers.Next(h.now)
-		if !ok {
-			return
-		}
+	for timer, ok := h.timers.Next(h.now); ok; timer, ok = h.timers.Next(h.now) {
 		if graceTimer, ok := graceTimers[timer.Kind]; ok && h.timeoutGrace > 0 {
 			h.timers.Set(h.now+h.timeoutGrace, graceTimer, timer.Key)
 			continue
 		}
 		h.onTimer(timer.Kind, timer.Key)
 	}
+	for timer, ok := h.deadlines.Next(h.now + h.answerLead); ok; timer, ok = h.deadlines.Next(h.now + h.answerLead) {
+		h.onTimer(timer.Kind, timer.Key)
+	}
 }
 
 func (h *Host) onTimer(kind timerKind, key uint64) {
--- a/internal/platform/load_monitor.go
+++ b/internal/platform/load_monitor.go
@@ -27,6 +27,10 @@
 // timeoutGrace returns by how much time-outs are postponed, in ms, as answers may have been received and not yet read.
 func (m *loadMonitor) timeoutGrace(now float64) float64 { return m.delay.TimeoutGrace(now) }
 
+// answerLead returns by how many ms before their deadlines requests have to be answered in a turn that was due at a time, as what is decided in
+// the next one may leave that much later.
+func (m *loadMonitor) answerLead(due, now float64) float64 { return m.delay.AnswerLead(due, now) }
+
 // remainingTime returns how much of a client's time is left, in ms, less the time that its request has waited to be read.
 func (m *loadMonitor) remainingTime(now, left float64) float64 {
 	return m.delay.RemainingTime(now, left)
--- a/internal/platform/turn_loop.go
+++ b/internal/platform/turn_loop.go
@@ -44,6 +44,7 @@
 	due := l.nextTurn
 	l.nextTurn = math.Inf(1)
 	s.host.SetTimeoutGrace(s.load.timeoutGrace(now))
+	s.host.SetAnswerLead(s.load.answerLead(due, now))
 	started := 0
 	if now >= s.host.EarliestRound() { // before that, requests would only wait in the host instead of the inbox
 		started = s.requests.start(now, s.load.batchSize())
