serve: keep logs and audit records of a test cluster that fails

TestBadPeers and TestNodeOutsideWorkingSetCrashes failed once each beside load and left nothing that tells why. A test cluster now collects the schedulers' log at all levels, and writes it and the audit's records to a directory when the test fails; a test client prints what it was sent. Checks are as they were.

--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -11,8 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"ravenpond/internal/audit"
 	"ravenpond/internal/engine"
 	"ravenpond/internal/env"
@@ -44,6 +42,7 @@
 	testbed    *standin.Testbed
 	ctx        context.Context //nolint:containedctx // ends with the test, and ends the schedulers
 	stop       context.CancelFunc
+	trace      *failureTrace
 	siteConfig *site.Config
 	nodes      []*standin.Node
 	list       *standin.List
@@ -64,6 +63,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
 	environment := env.NewReal()
 	s := &testCluster{t: t, dir: t.TempDir(), env: environment, testbed: standin.NewTestbed(environment), ctx: ctx, stop: stop, siteConfig: siteConfig}
+	s.trace = &failureTrace{now: s.testbed.Now}
 	s.rules = audit.Rules{
 		Nodes: map[uint32]audit.Location{}, DrainGrace: siteConfig.DrainGrace, SlowStartLimit: 12, SlowStartDuration: 6000,
 		SlowStartWindow: 1000, Slack: 400, Jobs: []audit.JobRules{
@@ -100,6 +100,7 @@
 	s.stop()
 	s.running.Wait()
 	s.env.Close(time.Second)
+	s.trace.save(s)
 }
 
 // start runs a scheduler and connects a client to it.
@@ -112,7 +113,7 @@
 	go func() {
 		defer s.running.Done()
 		config := Config{
-			Site: &siteConfig, Name: name, Index: i, Folder: folder, Seed: uint64(i + 1), Log: zerolog.Nop(),
+			Site: &siteConfig, Name: name, Index: i, Folder: folder, Seed: uint64(i + 1), Log: s.trace.logger(name),
 			Ready: func(a string) { ready <- a }, Faults: faults,
 		}
 		if s.configure != nil {
--- a/internal/serve/shard_test.go
+++ b/internal/serve/shard_test.go
@@ -87,7 +87,10 @@
 		c.received = append(c.received, r.Method()+r.ParamString())
 		c.mu.Unlock()
 	}})
-	t.Cleanup(func() { _ = c.Close() })
+	t.Cleanup(func() {
+		_ = c.Close()
+		c.logNotifications(t)
+	})
 	return c
 }
 
--- a/internal/serve/working_set_test.go
+++ b/internal/serve/working_set_test.go
@@ -7,8 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"ravenpond/internal/audit"
 	"ravenpond/internal/site"
 )
@@ -205,7 +203,7 @@
 		go func() {
 			done <- Run(ctx, Config{
 				Site: &siteConfig, Name: "s0", Index: index, Folder: filepath.Join(s.dir, "s0"), Seed: uint64(index + 1),
-				Log: zerolog.Nop(), Faults: faults, Ready: func(a string) { ready <- a }, OnLocalListener: func(l *LocalListener) { sets <- l.server.workingSet },
+				Log: s.trace.logger("s0"), Faults: faults, Ready: func(a string) { ready <- a }, OnLocalListener: func(l *LocalListener) { sets <- l.server.workingSet },
 			})
 		}()
 		return <-ready, <-sets, func() {
