engine, logic: avoid nodes without a connection, and don't count attempts that never left

Cause: the log of a request shows four attempts at four crashed nodes, each refused, within 200 ms; the site allows four, and an attempt that never left counted. The policy learned of a lost connection only from an attempt that failed there. Ruled out: the deadline (seconds away), the set (widened after 100 ms), visits (running), the admission gate (gives 'behind').

Change: the engine tells the policy of connections that end, fail or are ready; nodes without one are used only if no other is left.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -171,6 +171,15 @@
 	return max(at, e.pauseDetector.ResumeAt())
 }
 
+// reportReachable tells the policy whether there is a connection to a node. A policy that does not implement SetNodeReachable is unaffected.
+func (e *Engine) reportReachable(id uint32, reachable bool) {
+	if policy, ok := e.policy.(interface {
+		SetNodeReachable(now float64, node uint32, reachable bool)
+	}); ok {
+		policy.SetNodeReachable(e.now, id, reachable)
+	}
+}
+
 // SetSchedulerCount tells the policy how many schedulers share a node's slow-start limit. With 0, this scheduler sends nothing to nodes
 // that are warming up. A policy that does not implement SetSchedulerCount is unaffected.
 func (e *Engine) SetSchedulerCount(schedulers int) {
--- a/internal/engine/held.go
+++ b/internal/engine/held.go
@@ -91,6 +91,7 @@
 	}
 	n := &e.nodes[index]
 	n.ready, n.everReady = true, true
+	e.reportReachable(id, true)
 	for _, slot := range slices.Backward(n.allocations) { // completeAttempt removes the slot from the list
 		a := &e.allocations[slot]
 		if a.phase == phaseConnecting {
--- a/internal/engine/nodes.go
+++ b/internal/engine/nodes.go
@@ -46,6 +46,7 @@
 		return
 	}
 	e.pacer.OnDialFailed(now, index)
+	e.reportReachable(id, false)
 	n := &e.nodes[index]
 	for _, slot := range slices.Backward(n.allocations) { // completeAttempt removes the slot from the list
 		if e.allocations[slot].phase == phaseConnecting {
@@ -116,6 +117,9 @@
 	n := &e.nodes[index]
 	n.connected, n.ready, n.lostAt, n.confirmExtended = false, false, now, false
 	e.pacer.OnDisconnected(now, index)
+	if !n.released {
+		e.reportReachable(id, false)
+	}
 	if n.availability == logic.Unavailable {
 		e.endAttemptsAt(index)
 		return
--- a/internal/serve/shard.go
+++ b/internal/serve/shard.go
@@ -81,6 +81,7 @@
 func (s *shardSet) engineConfig(index int, incarnation uint32) engine.Config {
 	site := s.config.Site
 	cluster := site.Cluster
+	cluster.RetriesUnreachable = true // nothing was sent to the node, and a connection that is lost tells of many nodes at once
 	cluster.Schedulers *= site.MaxShards
 	cluster.Index = s.config.Index*site.MaxShards + index
 	return engine.Config{
--- a/internal/serve/working_set_test.go
+++ b/internal/serve/working_set_test.go
@@ -291,6 +291,20 @@
 	})
 }
 
+// TestRequestAfterWorkingSetCrashes crashes all nodes of the set before a single request: the request has to be served by another node. It guards
+// against attempts at nodes that can't be reached using up the attempts that the site allows. Which nodes are tried is drawn at random.
+func TestRequestAfterWorkingSetCrashes(t *testing.T) {
+	t.Parallel()
+	for round := range 8 {
+		t.Run(fmt.Sprint(round), func(t *testing.T) {
+			s := newWorkingSetCluster(t, Faults{})
+			c := connect(t, s.address)
+			s.crashWorkingSet()
+			c.serveTasks(t, "free", 1)
+		})
+	}
+}
+
 // crashWorkingSet crashes all nodes of the set.
 func (s *workingSetCluster) crashWorkingSet() {
 	s.testbed.WithLock(func(now float64) {
--- a/logic/allocations.go
+++ b/logic/allocations.go
@@ -13,6 +13,7 @@
 	usage    resources // resources in use, measured or expected
 	sentAt   float64   // when the last attempt was sent
 	attempts int
+	unsent   int     // attempts whose node could not be reached
 	probedAt float64 // when its best candidates were probed; 0: never
 
 	inFlight bool // an attempt has no outcome yet; remains true while the allocation is running
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -6,18 +6,28 @@
 	minAttemptTimeout = 1200 // minimum time-out of an attempt, ms
 	startTimeQuantile = 0.95 // quantile of the observed start times on which time-outs are based
 	timeoutFactor     = 2    // multiple of that quantile that gives the time-out
+	maxAttemptNumber  = 250  // limit on all attempts of an allocation; the caller numbers them in one byte
 )
 
 // checkAttempts is the stage that ends an allocation if the retry semantics of its job class or MaxAttempts allow no further attempt.
 func (s *Scheduler) checkAttempts(alloc *allocation) decision {
 	class := &s.classes[alloc.class]
 	expired := class.Semantics == Idempotent && s.now >= alloc.mayHaveRunSince+class.IdempotencyWindow-s.cluster.MinRoundInterval
-	if alloc.inFlight || alloc.attempts >= s.cluster.MaxAttempts || alloc.mayHaveRun && (class.Semantics == AtMostOnce || expired) {
+	if alloc.inFlight || s.attemptsLeft(alloc) <= 0 || alloc.mayHaveRun && (class.Semantics == AtMostOnce || expired) {
 		return finish
 	}
 	return proceed
 }
 
+// attemptsLeft returns how many further attempts of an allocation are allowed.
+func (s *Scheduler) attemptsLeft(alloc *allocation) int {
+	counted := alloc.attempts
+	if s.cluster.RetriesUnreachable {
+		counted -= alloc.unsent
+	}
+	return min(s.cluster.MaxAttempts-counted, maxAttemptNumber-alloc.attempts)
+}
+
 // sendAttempt is the last stage: it sends an attempt to the chosen node.
 func (s *Scheduler) sendAttempt(alloc *allocation) decision {
 	node := &s.nodes.all[alloc.node]
@@ -36,7 +46,7 @@
 // allowed afterwards and enough time would remain for it; otherwise the attempt may take until the deadline.
 func (s *Scheduler) attemptTimeout(alloc *allocation) float64 {
 	remaining, class := alloc.deadline-s.now, &s.classes[alloc.class]
-	if class.Semantics == AtMostOnce || alloc.attempts+1 >= s.cluster.MaxAttempts {
+	if class.Semantics == AtMostOnce || s.attemptsLeft(alloc) <= 1 {
 		return remaining
 	}
 	timeout := max(minAttemptTimeout, timeoutFactor*class.startTimes.quantile(startTimeQuantile))
@@ -67,6 +77,9 @@
 func (s *Scheduler) releaseAttempt(alloc *allocation, node *nodeState, outcome Outcome, _ Reason) {
 	s.countPlacement(alloc, -1)
 	alloc.inFlight = false
+	if outcome == Unreachable {
+		alloc.unsent++
+	}
 	s.removeUnanswered(alloc, node)
 	if outcome.neverRan() { // cancels the change that was recorded when the attempt was sent
 		node.capacity.record(s.now, change{alloc.sentAt, alloc.size.times(-1)})
--- a/logic/health.go
+++ b/logic/health.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// SetNodeReachable records whether the caller has a connection to a node. A node without one is used only if no other is left. A connection is
+// no answer: whether the node serves what it is sent is still unknown.
+func (s *Scheduler) SetNodeReachable(now float64, id uint32, reachable bool) {
+	s.now = now
+	node, ok := s.nodes.find(id)
+	if !ok || node.health.unreachable != reachable {
+		return
+	}
+	node.health.unreachable, node.probedAt = !reachable, now
+	if reachable {
+		s.queue.nextScanAt = now
+	}
+}
+
 // isUnresponsive reports whether an answer of a node has been due for longer than starts usually take.
 func (s *Scheduler) isUnresponsive(node *nodeState) bool {
 	if len(node.unanswered) == 0 {
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -115,6 +115,7 @@
 	ListMaxSilence     float64 // for a polled list: after this time without a message a scheduler counts as informed of all changes
 	MinRoundInterval   float64 // minimum time between two rounds
 	MaxAttempts        int     // maximum number of attempts for each allocation
+	RetriesUnreachable bool    // attempts whose node could not be reached do not count towards MaxAttempts
 	CanCancel          bool    // attempts in flight may be cancelled
 	CanProbe           bool    // nodes may be probed
 	JobClasses         []JobClass
