engine: answer requests whose deadlines fall into a pause or a late round

Seen by callers: on a busy machine a request gets no answer (TestBadPeers, once beside a load of 32 on 8 cores; TestFencedShard), or one after its deadline.

Cause: answers are due 200 ms before the deadline. After a pause of over 250 ms rounds do not act for 60 to 400 ms so that messages are read first, and answers waited too; past the deadline nothing may be sent. Late rounds do the same.

Change: the engine holds the deadlines of open requests. A round that may not act answers those that can't wait for the next one that may; a round that acts answers those that a next round as late as the last ones would answer late.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -40,6 +40,7 @@
 	hasEvents     bool // at least one event was reported since the last round
 	timers        timers.Heap[timerKind]
 	pauseDetector pausedetect.Detector
+	deadlines     deadlines
 	admission     *admission.Limiter
 
 	allocations []allocation // indexed by slot; some slots are free
@@ -126,21 +127,26 @@
 func (e *Engine) observe(now float64) { e.now, e.hasEvents = now, true }
 
 // Round fires the timers that are due, lets the policy decide on the events since the last round, and dials nodes.
-// After a pause of the process it does none of this, so that messages received during the pause are processed first.
+// After a pause of the process it does none of this, so that messages received during the pause are processed first; only requests whose
+// deadlines are too close for that are answered.
 func (e *Engine) Round(now float64) {
 	e.now = now
+	lead := e.deadlines.onRound(now)
+	defer func() { e.deadlines.roundDue = e.NextRound() }()
 	paused, act := e.pauseDetector.OnRound(now, e.hasEvents)
 	e.hasEvents = false
 	if paused > 0 {
 		e.effects.Log(fmt.Sprintf("process was paused for %.0f ms with %d open allocations; processing received messages before acting", paused, e.admission.Open()))
 	}
 	if !act {
+		e.answerPaused()
 		return
 	}
 	for timer, ok := e.timers.Next(now); ok; timer, ok = e.timers.Next(now) {
 		e.fire(timer)
 	}
 	e.completeDeferred()
+	e.answerLate(lead)
 	e.policy.Decide(now)
 	for index, ok := e.pacer.Next(now); ok; index, ok = e.pacer.Next(now) {
 		e.effects.Dial(e.nodes[index].id, e.nodes[index].address)
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -36,6 +36,7 @@
 	a.task, a.epoch = r.Task, r.Epoch
 	e.setClient(slot, r.ID)
 	a.deadline, a.waitingSince = now+r.TimeLeft, now
+	e.deadlines.heap.Set(a.deadline, struct{}{}, uint64(a.id))
 	e.byKey[key] = slot
 	request := a.task.policyRequest(a.id)
 	request.Deadline = a.deadline - e.config.AnswerMargin
@@ -140,19 +141,24 @@
 	if !ok {
 		return fmt.Errorf("request %d to withdraw does not exist", request.Number)
 	}
-	e.withdrawAllocation(slot, true)
+	e.withdrawAllocation(slot, withdrawal{notify: true, reason: ReasonWithdrawn})
 	return nil
 }
 
-// withdrawAllocation answers an open allocation and cancels its attempt, or stops a running task. If notify is false, the client of an open
-// allocation gets no answer.
-func (e *Engine) withdrawAllocation(slot int, notify bool) {
+// withdrawal says how a request ends that the policy did not end.
+type withdrawal struct {
+	notify bool // the client of an open allocation gets an answer
+	reason AnswerReason
+}
+
+// withdrawAllocation answers an open allocation and cancels its attempt, or stops a running task.
+func (e *Engine) withdrawAllocation(slot int, w withdrawal) {
 	a := &e.allocations[slot]
 	if a.phase == phaseRunning {
 		e.stopTask(a)
 		return
 	}
-	if !notify {
+	if !w.notify {
 		e.clearClient(a)
 	}
 	kind, class := Failed, &e.config.Cluster.JobClasses[a.task.JobClass]
@@ -161,7 +167,7 @@
 	}
 	late := a.lateStart
 	a.lateStart = AttemptID{}
-	e.answer(a, Answer{Kind: kind, Reason: ReasonWithdrawn})
+	e.answer(a, Answer{Kind: kind, Reason: w.reason})
 	e.clearClient(a)
 	e.policy.OnExpired(e.now, a.id)
 	if a.phase == phaseWaiting {
@@ -186,7 +192,7 @@
 		if a.phase == phaseRunning {
 			e.clearClient(a)
 		} else {
-			e.withdrawAllocation(slot, false)
+			e.withdrawAllocation(slot, withdrawal{})
 		}
 	}
 }
@@ -196,7 +202,7 @@
 	e.now, e.closed = now, true
 	for slot := range e.allocations {
 		if e.isInUse(slot) && !e.allocations[slot].answered {
-			e.withdrawAllocation(slot, true)
+			e.withdrawAllocation(slot, withdrawal{notify: true, reason: ReasonWithdrawn})
 		}
 	}
 }
@@ -215,7 +221,7 @@
 		case a.phase == phaseRunning && stopRunning && !a.stopping:
 			e.stopTask(a)
 		case a.phase != phaseRunning && !a.answered:
-			e.withdrawAllocation(slot, true)
+			e.withdrawAllocation(slot, withdrawal{notify: true, reason: ReasonWithdrawn})
 		}
 		if e.isInUse(slot) {
 			remaining++
--- a/internal/engine/state.go
+++ b/internal/engine/state.go
@@ -18,7 +18,7 @@
 		w.numbers(float64(n.availability), float64(n.incarnation))
 		w.flags(n.excluded, n.sameIncarnation, n.connected, n.ready, n.probing)
 	}
-	w.numbers(float64(len(e.deferred)), float64(len(e.claims)), e.NextRound()-e.now)
+	w.numbers(float64(len(e.deferred)), float64(len(e.claims)), e.NextRound()-e.now, e.roundedLag())
 	return w.bytes
 }
 
