serve: hold the address at which the nodes of TestBadPeers refuse connections

Seen: of 72 runs 36 at once beside 36 busy processes, and of 24 under stops, one each failed because a bad node's last BYE came from another run's scheduler ('node 105 answers at 127.0.0.1:42913, expected 209'). Ten nodes of the test refuse connections at a port of 127.0.0.1 that was closed; another process may listen there soon. Only the rig: a scheduler refuses a node of another name, as it did. The port is on a loopback host of the process's own now.

--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -365,6 +365,9 @@
 	return listener.Addr().String(), func() string { mu.Lock(); defer mu.Unlock(); return last }
 }
 
+// refusingHost is the number of the loopback host at which nothing listens. Nodes of the test cluster have lower numbers.
+const refusingHost = 249
+
 // TestBadPeers runs bad nodes beside good ones: each bad connection ends with the expected reason, and no audit rule is violated.
 func TestBadPeers(t *testing.T) {
 	hello := node.GreetingLine + "\r\nNode: ID\r\nLife: 3\r\n\r\n"
@@ -390,7 +393,7 @@
 		lastByes = append(lastByes, lastBye)
 		s.list.AddUnreachable(uint32(100+i), addr, "east", "east", "plain")
 	}
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	closed, err := net.Listen("tcp", standin.LoopbackHost(refusingHost)+":0") // on 127.0.0.1 another process could listen there soon
 	if err != nil {
 		t.Fatal(err)
 	}
