--- a/logic/health.go
+++ b/logic/health.go
@@ -81,6 +81,11 @@
 	if reachable {
 		node.health.lastAnswerAt = s.now
 	}
+	s.markReachable(node, reachable)
+}
+
+// markReachable sets whether a node counts as reachable, and logs a change.
+func (s *Scheduler) markReachable(node *nodeState, reachable bool) {
 	if node.health.unreachable == reachable {
 		node.health.unreachable, node.probedAt = !reachable, s.now
 		silence := (s.now - max(node.health.lastAnswerAt, s.startedAt)) / 1000
@@ -93,10 +98,10 @@
 func (s *Scheduler) SetNodeReachable(now float64, id uint32, reachable bool) {
 	s.now = now
 	node, ok := s.nodes.find(id)
-	if !ok || node.health.unreachable != reachable {
+	if !ok {
 		return
 	}
-	node.health.unreachable, node.probedAt = !reachable, now
+	s.markReachable(node, reachable)
 	if reachable {
 		s.queue.nextScanAt = now
 	}
