lab/cluster: keep the logs and records of a rig whose test fails

TestZoneFaults fails now and then beside load (an answer late), and its logs went with its directory. They are copied now, with the time of each line.

--- a/internal/lab/cluster/rig_test.go
+++ b/internal/lab/cluster/rig_test.go
@@ -71,6 +71,7 @@
 	if res.Answers["served"] < 100 {
 		t.Errorf("got answers %v, want at least 100 served", res.Answers)
 	}
+	keepTrace(t, r)
 	return res
 }
 
--- a/internal/lab/spawn/spawn.go
+++ b/internal/lab/spawn/spawn.go
@@ -58,6 +58,14 @@
 	}
 }
 
+// logTime adds the time to each line of a log.
+type logTime struct{}
+
+// Run implements zerolog.Hook.
+func (logTime) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Float64("logged_unix_ms", float64(time.Now().UnixMicro())/1e3)
+}
+
 // runFromFlags runs a scheduler with the flags of `ravenpond serve` until it receives SIGTERM or an interrupt.
 func runFromFlags(args []string) error {
 	flags := map[string]string{}
@@ -78,7 +86,7 @@
 	var failed error
 	err = serve.Run(ctx, serve.Config{
 		Site: config, Name: flags["--name"], Index: index, Folder: flags["--state"], Seed: seed, Zone: flags["--zone"],
-		Log: zerolog.New(os.Stderr), Ready: func(a string) {
+		Log: zerolog.New(os.Stderr).Hook(logTime{}), Ready: func(a string) {
 			failed = renameio.WriteFile(flags["--address-file"], []byte(a+"\n"), 0o600)
 		},
 	})
