engine: measure no lag before the first round

Cause: my first form took the time of the first round for lateness, as none had been planned; the measure halves every 150 ms, which takes seconds from there.

Change: the first round is on time, and a round is never due before the minimum interval has passed. TestAnswersAreNotEarly fails without the first.

--- a/internal/engine/deadlines.go
+++ b/internal/engine/deadlines.go
@@ -16,16 +16,25 @@
 type deadlines struct {
 	heap     timers.Heap[struct{}] // deadlines of requests; the key is the allocation's number
 	lag      overload.Monitor
-	roundDue float64 // when the present round was due
+	roundDue float64 // when the next round is due; 0 before the first one
 }
 
-// onRound records the start of a round.
+// onRound records the start of a round and returns by how many ms answers have to be ahead of their times.
 func (d *deadlines) onRound(now float64) (lead float64) {
-	lead = d.lag.AnswerLead(d.roundDue, now)
-	d.lag.OnRound(d.roundDue, now, now)
+	due := d.roundDue
+	if due == 0 {
+		due = now
+	}
+	lead = d.lag.AnswerLead(due, now)
+	d.lag.OnRound(due, now, now)
 	return lead
 }
 
+// planRound records when the next round is due. It can't be due before the minimum interval between rounds has passed.
+func (e *Engine) planRound() {
+	e.deadlines.roundDue = max(e.NextRound(), e.now+e.config.Cluster.MinRoundInterval)
+}
+
 // answerLate answers the requests whose answers are due within the lead, in a round that may act.
 func (e *Engine) answerLate(lead float64) {
 	if lead > 0 {
--- a/internal/engine/deadlines_test.go
+++ b/internal/engine/deadlines_test.go
@@ -41,3 +41,17 @@
 		})
 	}
 }
+
+// TestAnswersAreNotEarly checks that an engine whose rounds are on time answers no request before it is due, also right after its start, whatever
+// its clock shows then.
+func TestAnswersAreNotEarly(t *testing.T) {
+	for _, start := range []float64{1000, 1e9} {
+		h := newHarnessAt(t, start, true)
+		h.request(1, atMostOnce, 450)
+		h.takeEffects()
+		h.advance(320)
+		h.expect("20 ms before the answer is due", h.takeEffects(), "")
+		h.advance(30)
+		h.expect("when it is due", h.takeEffects(), "recall 1.0, answer 1 failed")
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -132,7 +132,7 @@
 func (e *Engine) Round(now float64) {
 	e.now = now
 	lead := e.deadlines.onRound(now)
-	defer func() { e.deadlines.roundDue = e.NextRound() }()
+	defer e.planRound()
 	paused, act := e.pauseDetector.OnRound(now, e.hasEvents)
 	e.hasEvents = false
 	if paused > 0 {
--- a/internal/engine/harness_test.go
+++ b/internal/engine/harness_test.go
@@ -92,7 +92,13 @@
 // newHarness starts an engine with four ready nodes, two in each zone. If connected is set, all nodes are connected and hold nothing.
 func newHarness(t *testing.T, connected bool) *harness {
 	t.Helper()
-	h := &harness{t: t, offers: map[uint32]int{}, now: 1000}
+	return newHarnessAt(t, 1000, connected)
+}
+
+// newHarnessAt does the same at a time in ms.
+func newHarnessAt(t *testing.T, start float64, connected bool) *harness {
+	t.Helper()
+	h := &harness{t: t, offers: map[uint32]int{}, now: start}
 	cluster := &logic.Cluster{
 		Schedulers: 1, ListMaxSilence: 10000, MinRoundInterval: 2, MaxAttempts: 4, CanCancel: true, CanProbe: true,
 		KindCores: []float64{16}, KindMemory: []float64{32}, CoresOvercommit: 2, MemoryOvercommit: 1.5, ListsReportLoad: true,
