shardrouter: pause a spread service until its fenced shard has started again

Cause: after a fence the service is paused for 2.5 s so that nodes can name what runs, but they are asked when the shard starts again. A trace: fenced at 6.02 s, started at 8.75 s, three tasks placed at a node from 8.66 s on where one ran.

Change: the pause lasts until a second after the start, and 15 s at most, the time within which running tasks have to be found again.

--- a/internal/decide/shardrouter/health.go
+++ b/internal/decide/shardrouter/health.go
@@ -8,8 +8,10 @@
 
 const (
 	// pauseAfterFence is how long, in ms, a service whose tasks must be spread is paused after a fence, so that the nodes can report to the
-	// service's next shard what runs.
+	// service's next shard what runs. The pause lasts until pauseAfterStart after the start of the shard's next incarnation, as only then the nodes
+	// are asked for what they hold, but no longer than recoveryTimeout.
 	pauseAfterFence = 2500
+	pauseAfterStart = 1000 // ms
 
 	minRoundsLeft = 10 // an allocation is reassigned only if this many rounds of a shard fit before its answer margin
 )
@@ -39,6 +41,7 @@
 	spread := r.isSpread(orphan.Entry.JobClass)
 	if spread { // the next shard must first learn what runs, or its placements could violate the spread
 		r.pausedUntil[service] = now + pauseAfterFence
+		r.awaitingStart[service] = shardStart{shard, now + recoveryTimeout}
 	}
 	switch {
 	case d.Disposition == shardownership.Reassign:
@@ -97,6 +100,7 @@
 			delete(r.pausedUntil, service)
 		}
 	}
+	maps.DeleteFunc(r.awaitingStart, func(_ uint64, start shardStart) bool { return now > start.until })
 	h.Lost = r.expireUnrecovered(now)
 	return h
 }
@@ -123,9 +127,31 @@
 // SetCheckLateness sets how late, in ms, the calls of CheckHealth come.
 func (r *Router) SetCheckLateness(lateness float64) { r.lateness = lateness }
 
+// shardStart is the start of a shard that is awaited until a time.
+type shardStart struct {
+	shard int
+	until float64
+}
+
+// isPaused reports whether a service gets no new allocations for now.
+func (r *Router) isPaused(now float64, service uint64) bool {
+	return now < r.pausedUntil[service] || now < r.awaitingStart[service].until
+}
+
+// endStartWaits lets the services go on, after a pause, that have waited for a shard to start.
+func (r *Router) endStartWaits(now float64, shard int) {
+	for service, start := range r.awaitingStart {
+		if start.shard == shard {
+			r.pausedUntil[service] = max(r.pausedUntil[service], now+pauseAfterStart)
+			delete(r.awaitingStart, service)
+		}
+	}
+}
+
 // OnShardStarted records that the next incarnation of a shard runs. Its epochs begin at epoch. A shard that was draining keeps draining.
 func (r *Router) OnShardStarted(now float64, shard int, epoch uint32) {
 	r.watchdog.Watch(now, shard)
+	r.endStartWaits(now, shard)
 	r.ownership.Epoch = max(r.ownership.Epoch, epoch)
 	r.placement.MarkUp(shard)
 	if r.draining[shard] {
--- a/internal/decide/shardrouter/route.go
+++ b/internal/decide/shardrouter/route.go
@@ -80,7 +80,7 @@
 		return AttemptOpen
 	case r.ownership.Open() >= r.config.MaxOpen:
 		return Full
-	case now < r.pausedUntil[a.Request.Service]:
+	case r.isPaused(now, a.Request.Service):
 		return ShardFenced
 	}
 	if _, isMoving := r.moving[a.Request.Service]; isMoving {
--- a/internal/decide/shardrouter/shardrouter.go
+++ b/internal/decide/shardrouter/shardrouter.go
@@ -43,13 +43,14 @@
 	gates                []admission.Gate // by shard index
 	unrecovered          map[shardownership.ID]unrecoveredAllocation
 	unrecoveredByAttempt map[shardownership.Attempt]shardownership.ID
-	pausedUntil          map[uint64]float64 // by service: the time until which it gets no new allocations
-	lateness             float64            // ms by which recent calls of CheckHealth came late
-	moving               map[uint64]int     // by service that is being handed over: the shard that hands it over
-	draining             map[int]bool       // shards that end once they hold nothing
-	stopped              map[int]bool       // shards that have ended or were never started
-	addedAt              map[int]float64    // by shard that still receives the services that belong to it: when it was added
-	queue                *tenantQueue       // nil: requests are not queued
+	pausedUntil          map[uint64]float64    // by service: the time until which it gets no new allocations
+	awaitingStart        map[uint64]shardStart // by service that gets no new allocations until a shard has started
+	lateness             float64               // ms by which recent calls of CheckHealth came late
+	moving               map[uint64]int        // by service that is being handed over: the shard that hands it over
+	draining             map[int]bool          // shards that end once they hold nothing
+	stopped              map[int]bool          // shards that have ended or were never started
+	addedAt              map[int]float64       // by shard that still receives the services that belong to it: when it was added
+	queue                *tenantQueue          // nil: requests are not queued
 }
 
 // New returns a router whose first config.Shards shards run.
@@ -67,6 +68,7 @@
 		unrecovered:          map[shardownership.ID]unrecoveredAllocation{},
 		unrecoveredByAttempt: map[shardownership.Attempt]shardownership.ID{},
 		pausedUntil:          map[uint64]float64{},
+		awaitingStart:        map[uint64]shardStart{},
 		moving:               map[uint64]int{},
 		draining:             map[int]bool{},
 		stopped:              map[int]bool{},
