--- a/internal/lab/cluster/lifecycle.go
+++ b/internal/lab/cluster/lifecycle.go
@@ -69,7 +69,7 @@
 	if err := os.WriteFile(file, fmt.Appendf(nil, siteText, r.Schedulers, max(12, r.Schedulers), r.zoneElements(), r.cores(), 2*r.cores(), members, list), 0o640); err != nil {
 		return err
 	}
-	p.reservedConn.Close()
+	closeQuietly(p.reservedConn)
 	r.testbed.Trace.Add(audit.Record{At: r.testbed.Now(), Kind: audit.SchedulerStarted, Scheduler: p.name})
 	cmd, address, err := spawn.Scheduler(r.ctx, append(slices.Clone(r.Command), "serve", "--site", file, "--state", p.stateDir, "--name", p.name,
 		"--index", fmt.Sprint(i), "--zone", r.zoneOf(i), "--seed", fmt.Sprint(r.Seed*1000+uint64(i)+1), "--address-file", filepath.Join(r.Dir, p.name+".addr")), p.logFile,
--- a/internal/lab/cluster/relay.go
+++ b/internal/lab/cluster/relay.go
@@ -66,13 +66,16 @@
 	return r, nil
 }
 
+// closeQuietly closes a connection, listener or file and ignores the error: it was closed already, or its peer has gone.
+func closeQuietly(c io.Closer) { _ = c.Close() }
+
 func (r *relay) address() string { return r.listener.Addr().String() }
 
 // serve connects a caller to the target and forwards in both directions until either side ends.
 func (r *relay) serve(caller net.Conn) {
 	c := &relayedConn{caller: caller}
 	if !r.register(c) {
-		caller.Close()
+		closeQuietly(caller)
 		return
 	}
 	defer r.closeConn(c, false)
@@ -89,7 +92,7 @@
 		return
 	}
 	if !r.setCallee(c, callee) {
-		callee.Close()
+		closeQuietly(callee)
 		return
 	}
 	both := make(chan bool, 2)
@@ -166,7 +169,7 @@
 		if t, ok := x.(*net.TCPConn); ok && reset {
 			_ = t.SetLinger(0)
 		}
-		x.Close()
+		closeQuietly(x)
 	}
 }
 
@@ -187,7 +190,7 @@
 }
 
 func (r *relay) close() {
-	r.listener.Close()
+	closeQuietly(r.listener)
 	r.mu.Lock()
 	r.closed = true
 	var all []*relayedConn
--- a/internal/lab/cluster/result.go
+++ b/internal/lab/cluster/result.go
@@ -74,15 +74,15 @@
 	for i, x := range r.processes {
 		r.PauseScheduler(i, false)
 		r.KillScheduler(i)
-		x.reservedConn.Close()
-		x.relay.Close()
+		closeQuietly(x.reservedConn)
+		closeQuietly(x.relay)
 		for _, y := range []*relay{x.listRelay, x.clientRelay} {
 			if y != nil {
 				y.close()
 			}
 		}
 		if x.logFile != nil {
-			x.logFile.Close()
+			closeQuietly(x.logFile)
 		}
 	}
 	for _, x := range r.relays {
--- a/internal/serve/failure_trace_test.go
+++ b/internal/serve/failure_trace_test.go
@@ -60,6 +60,7 @@
 
 // logNotifications prints what the client was sent if the test has failed.
 func (c *testClient) logNotifications(t *testing.T) {
+	t.Helper()
 	if t.Failed() {
 		t.Logf("the client received: %s", strings.Join(c.notifications(), "\n"))
 	}
