--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -48,7 +48,7 @@
 	limits   budget.Limits
 
 	mu           sync.Mutex // guards the parts below
-	unreadBuffer []byte     // reused by the looks at what clients have sent
+	unreadBuffer []byte     // reused by the looks at what clients have sent; bounded by env.MaxUnread and one read
 
 	host      *host.Host
 	loop      turnLoop
--- a/internal/platform/unread_withdrawals.go
+++ b/internal/platform/unread_withdrawals.go
@@ -9,9 +9,6 @@
 // unreadLookInterval is the minimum time between two looks at the unread bytes of a connection, in ms.
 const unreadLookInterval = 1
 
-// maxKeptUnreadBuffer is the capacity in bytes above which the buffer for unread bytes is not kept.
-const maxKeptUnreadBuffer = 64 << 10
-
 // unreadWithdrawals holds the withdrawals that a client has sent and that are not processed yet. A process that lags behind its events finds
 // them here before it sends an attempt: the withdrawal may lie unread behind many other events, or its reader may wait for Server.mu.
 // Server.mu guards it.
@@ -39,9 +36,7 @@
 	u, processed := &c.unread, c.processed()
 	maps.DeleteFunc(u.positions, func(_, position uint64) bool { return position < processed })
 	from, unread := c.conn.Unread(c.server.unreadBuffer[:0])
-	if cap(unread) <= maxKeptUnreadBuffer {
-		c.server.unreadBuffer = unread
-	}
+	c.server.unreadBuffer = unread
 	if u.next = max(u.next, processed); c.received < from || u.next >= from+uint64(len(unread)) {
 		return
 	}
