--- a/review/_rig/cases.go
+++ b/review/_rig/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 )
 
@@ -99,11 +100,21 @@
 // checkReleases waits until a time after the end of tasks, and gives the verdict: each has to be released towards the client within 8 s, and
 // 50 ms.
 func checkReleases(w *world, c *client, ids []uint64, ended time.Time, until time.Duration) {
+	ends := map[uint64]time.Time{}
+	for _, id := range ids {
+		ends[id] = ended
+	}
+	checkEach(w, c, ids, ends, until)
+}
+
+// checkEach does the same with a time for each task, and waits from now on.
+func checkEach(w *world, c *client, ids []uint64, ends map[uint64]time.Time, until time.Duration) {
 	const limit = 8050 * time.Millisecond
-	time.Sleep(time.Until(ended.Add(until)))
+	time.Sleep(until)
 	never, late, worst := 0, 0, time.Duration(0)
 	for _, id := range ids {
 		got, ok := c.wait(id, 1, 0)
+		ended := ends[id]
 		if !ok {
 			never++
 			w.rec.log("client: task %016x was never released, %.1f s after its end", id, time.Since(ended).Seconds())
@@ -113,6 +124,7 @@
 		worst = max(worst, took)
 		if took > limit {
 			late++
+			w.rec.log("client: task %016x was released %.1f s after its end", id, took.Seconds())
 		}
 	}
 	w.verdict(never+late > 0, "of %d tasks that stood and have ended, %d were released later than 8.05 s after their end (the last after %.1f s) and %d not at all within %.0f s",
@@ -256,3 +268,117 @@
 	}
 	checkReleases(w, c, ids, time.Now(), 30*time.Second)
 }
+
+// stallAndDrain: a scheduler stands still for a moment, again and again. Meanwhile a node begins to drain, and requests come.
+func stallAndDrain(w *world) {
+	const (
+		rounds = 8
+		stall  = 1950 * time.Millisecond
+		limit  = 550 * time.Millisecond // the grace and 50 ms
+	)
+	w.site = chaguanas
+	nodes := threeNodes(w)
+	s := oneScheduler(w, nodes)
+	c := newClient(w.rec)
+	l := c.connect(s)
+	time.Sleep(time.Second)
+	broken, worst := 0, time.Duration(0)
+	for round := range rounds {
+		var ids []uint64
+		ask := func(count int) {
+			for i := range count {
+				ids = append(ids, c.ask(l, s, request{
+					class: w.site.classes[0]["name"].(string), name: fmt.Sprintf("%016x", 0x9000+round*100+len(ids)),
+					figures: fmt.Sprintf("cores:1;memory:2;service:%016x", 0xb00+round*10+i%3), timeMs: 5000,
+				}))
+			}
+		}
+		ask(4)
+		time.Sleep(700 * time.Millisecond)
+		n := nodes[round%len(nodes)]
+		if w.trouble {
+			s.stand(true)
+		}
+		begin := time.Now()
+		time.Sleep(300 * time.Millisecond)
+		n.setDraining(true)
+		s.journal.add(false, n.entry("draining", 0))
+		told := time.Now()
+		time.Sleep(1400 * time.Millisecond)
+		ask(8)
+		time.Sleep(time.Until(begin.Add(stall)))
+		if w.trouble {
+			s.stand(false)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for _, at := range n.offeredSince(told.Add(limit)) {
+			broken++
+			worst = max(worst, at.Sub(told))
+			w.rec.log("node %s: was offered a task %.0f ms after the scheduler was told that it drains", n.name, float64(at.Sub(told))/1e6)
+		}
+		n.setDraining(false)
+		s.journal.add(false, n.entry("ready", 0))
+		for _, id := range ids {
+			c.wait(id, 0, answerWait)
+		}
+		for _, n := range nodes {
+			finishAll(n)
+		}
+		time.Sleep(1500 * time.Millisecond)
+	}
+	w.verdict(broken > 0, "in %d rounds, %d offers to a draining node later than 550 ms after its drain was told, the last %.0f ms after", rounds, broken, float64(worst)/1e6)
+}
+
+// stallAndEnd: a scheduler stands still for a moment while a probe is out. A task ends meanwhile.
+func stallAndEnd(w *world) {
+	const (
+		rounds = 5
+		stall  = 1400 * time.Millisecond
+	)
+	w.site = chaguanas
+	nodes := threeNodes(w)
+	s := oneScheduler(w, nodes)
+	for _, n := range nodes {
+		n.testTime = 30 * time.Millisecond
+	}
+	c := newClient(w.rec)
+	l := c.connect(s)
+	time.Sleep(time.Second)
+	q := func(i int) request {
+		return request{
+			class: w.site.classes[0]["name"].(string), name: fmt.Sprintf("%016x", 0x9000+i), figures: "cores:4;memory:6;service:0000000000000b00",
+			timeMs: 5000,
+		}
+	}
+	count := 0
+	ask := func() { c.ask(l, s, q(count)); count++ }
+	for range 15 { // a few at once, so that some connections to each node are made
+		ask()
+	}
+	var ended []uint64
+	for range rounds {
+		time.Sleep(4*time.Second - stall)
+		ask() // the reports are old by now: the scheduler probes two nodes before it offers the task
+		time.Sleep(12 * time.Millisecond)
+		if w.trouble {
+			s.stand(true)
+		}
+		begin := time.Now()
+		time.Sleep(400 * time.Millisecond)
+		for _, n := range nodes {
+			ended = append(ended, n.finishProbed()...)
+		}
+		time.Sleep(time.Until(begin.Add(stall)))
+		if w.trouble {
+			s.stand(false)
+		}
+	}
+	if len(ended) == 0 {
+		cannotRun("no task has ended while the scheduler stood still")
+	}
+	ends := map[uint64]time.Time{}
+	for _, n := range nodes {
+		maps.Copy(ends, n.ended)
+	}
+	checkEach(w, c, ended, ends, 12*time.Second)
+}
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -39,7 +39,7 @@
 
 func main() {
 	cases := map[string]func(*world){
-		"handed-over": handedOver, "zone-returns": zoneReturns, "replaced": replaced, "gone-silent": goneSilent, "ended-while-down": endedWhileDown,
+		"handed-over": handedOver, "zone-returns": zoneReturns, "replaced": replaced, "gone-silent": goneSilent, "ended-while-down": endedWhileDown, "stall-and-drain": stallAndDrain, "stall-and-end": stallAndEnd,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		cannotRun("usage: rig CASE RECORD")
--- a/review/_rig/node.go
+++ b/review/_rig/node.go
@@ -19,6 +19,7 @@
 	cell        int
 	cores, mem  float64
 	startTime   time.Duration // from an offer to its answer
+	testTime    time.Duration // from a test to its answer
 	loseAnswers bool          // an answer is lost with its connection: the task runs, the connection is reset
 	refuse      int           // number of offers to refuse as full
 
@@ -31,6 +32,10 @@
 	links    map[*link]bool
 	tasks    map[uint64]*nodeTask
 	unsent   []uint64 // releases for the next connection
+	draining bool     // it refuses offers
+	offers   []time.Time
+	tested   *link                // the connection of the last test
+	ended    map[uint64]time.Time // when tasks ended by themselves
 }
 
 type nodeTask struct {
@@ -46,7 +51,7 @@
 func newNode(rec *record, name, addr, zone, kind string, cell int, cores, mem float64) *node {
 	n := &node{
 		rec: rec, name: name, addr: addr, zone: zone, kind: kind, cell: cell, cores: cores, mem: mem, startTime: 30 * time.Millisecond, fd: -1,
-		links: map[*link]bool{}, tasks: map[uint64]*nodeTask{},
+		links: map[*link]bool{}, tasks: map[uint64]*nodeTask{}, ended: map[uint64]time.Time{},
 	}
 	return n
 }
@@ -126,7 +131,10 @@
 			if m.cause() == 1 {
 				p = append(p, n.report())
 			}
-			l.send(message{typeTested, m.task, p})
+			n.mu.Lock()
+			n.tested = l
+			n.mu.Unlock()
+			time.AfterFunc(n.testTime, func() { l.send(message{typeTested, m.task, p}) })
 		case typeSetUp:
 			n.onSetUp(l, gen, m)
 		case typeEnd:
@@ -138,6 +146,12 @@
 func (n *node) onSetUp(l *link, gen int, m message) {
 	n.rec.log("node %s: offered task %016x, name %s, class %s", n.name, m.task, m.get(parName), m.get(parClass))
 	n.mu.Lock()
+	n.offers = append(n.offers, time.Now())
+	if n.draining {
+		n.mu.Unlock()
+		l.send(endMessage(m.task, 34, param{parReason, "not_here"}))
+		return
+	}
 	if n.refuse > 0 {
 		n.refuse--
 		n.mu.Unlock()
@@ -202,6 +216,7 @@
 		}
 	}
 	n.unsent = append(n.unsent, id)
+	n.ended[id] = time.Now()
 	n.mu.Unlock()
 	n.rec.stopped(n.name, t)
 	n.rec.log("node %s: task %016x has ended by itself", n.name, id)
@@ -211,6 +226,39 @@
 	}
 }
 
+func (n *node) setDraining(draining bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.draining = draining
+}
+
+// offeredSince returns when the node was offered tasks after a time.
+func (n *node) offeredSince(from time.Time) (at []time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, t := range n.offers {
+		if t.After(from) {
+			at = append(at, t)
+		}
+	}
+	return at
+}
+
+// finishProbed ends one of the running tasks whose set-up came on the connection of the last test, if there is one and another task goes on.
+func (n *node) finishProbed() (ids []uint64) {
+	n.mu.Lock()
+	for id, t := range n.tasks {
+		if t.runs && t.link == n.tested && len(ids) == 0 && len(n.tasks) > 1 {
+			ids = append(ids, id)
+		}
+	}
+	n.mu.Unlock()
+	for _, id := range ids {
+		n.finish(id)
+	}
+	return ids
+}
+
 func (n *node) notes(gen int) {
 	for range time.Tick(time.Second) {
 		n.mu.Lock()
--- a/review/_rig/world.go
+++ b/review/_rig/world.go
@@ -279,6 +279,18 @@
 	s.rec.log("scheduler %s: killed", s.name)
 }
 
+// stand makes the process stand still, or go on.
+func (s *scheduler) stand(still bool) {
+	sig := syscall.SIGCONT
+	if still {
+		sig = syscall.SIGSTOP
+	}
+	if err := s.cmd.Process.Signal(sig); err != nil {
+		cannotRun("scheduler: %v", err)
+	}
+	s.rec.log("scheduler %s: stands still: %t", s.name, still)
+}
+
 // client is a stand-in for an owner: its connections to schedulers, and what it was told about its tasks.
 type client struct {
 	rec *record
