platform: end the tasks of a node that came back as another process

Cause, from a trace of the case: nodefailure.Detector takes an accepted connection for a sign of life of the process that ran the tasks. The machine was silent for 5.2 s, the old connection was reset, a new one cleared the failure before contactTimeout, and the later since_ms of the node list reached the module alone (slow start), never the tasks. Ruled out: the time-out of the detector (it works for longer outages), a lost end (the new process sends none), the reset by itself (connections are reset while processes live on).

Change: nodefailure.ProcessStart holds the start that the list tells of against what is known of each task. The connection on which a task was answered tells its process where the times alone do not; within the tolerance of the clocks the end of that connection decides, whether it comes before the list or after. A task placed at the new process before the list told of it goes on. What is called over is also stopped at the node. The tasks end before the module is told of the start, so that their room is free once. The simulated network learns machines that vanish: until now one without power refused connections. Debug traces show list entries and new connections, which they lacked.

Open: while the list is late the tasks are told as late as the list; a task that is handed over after the start of its node is taken to run.

--- a/internal/lab/sim/clock.go
+++ b/internal/lab/sim/clock.go
@@ -39,6 +39,7 @@
 	traceOut      io.Writer // receives the trace as text, unless it is nil
 	processes     []*Process
 	listeners     map[string]*listener
+	vanished      map[string]*Process // by the address at which a process listened whose machine has vanished
 	links         map[[2]string]*link // by the names of both hosts, in alphabetical order
 	packetConns   map[string]*packetConn
 	datagramLinks map[[2]string]*DatagramLink
@@ -47,7 +48,7 @@
 // NewClock returns a clock at time 0, without processes.
 func NewClock(seed uint64) *Clock {
 	c := &Clock{
-		rng: rand.New(rand.NewPCG(seed, 0x51)), listeners: map[string]*listener{}, links: map[[2]string]*link{},
+		rng: rand.New(rand.NewPCG(seed, 0x51)), listeners: map[string]*listener{}, vanished: map[string]*Process{}, links: map[[2]string]*link{},
 		packetConns: map[string]*packetConn{}, datagramLinks: map[[2]string]*DatagramLink{},
 	}
 	c.trace.Reset()
--- a/internal/lab/sim/conn.go
+++ b/internal/lab/sim/conn.go
@@ -182,7 +182,7 @@
 	if c.closed {
 		return
 	}
-	if c.halfOpen && len(c.outgoing)+len(c.farewell) > 0 { // the other host does not know the connection and answers with a reset
+	if c.isUnknownToPeer() && len(c.outgoing)+len(c.farewell) > 0 { // the other host answers with a reset
 		clock.schedule(c.process, clock.now+clock.delay(c.link), func() { c.close(errReset) })
 		return
 	}
@@ -202,10 +202,13 @@
 	}
 }
 
+// isUnknownToPeer reports whether the other host is there and does not know the connection.
+func (c *conn) isUnknownToPeer() bool { return c.halfOpen && !c.remote.process.unreachable }
+
 // sendSegments hands queued bytes to the network in segments of varying size, as far as the send window allows.
 func (c *conn) sendSegments() {
 	clock := c.process.clock
-	for len(c.outgoing) > 0 && c.inFlight < sendWindow && !c.link.cut {
+	for len(c.outgoing) > 0 && c.inFlight < sendWindow && !c.link.cut && !c.remote.process.unreachable {
 		n := min(len(c.outgoing), 1+clock.rng.IntN(maxSegment), sendWindow-c.inFlight)
 		if clock.rng.IntN(fullSegments) > 0 {
 			n = min(len(c.outgoing), maxSegment, sendWindow-c.inFlight)
--- a/internal/lab/sim/network.go
+++ b/internal/lab/sim/network.go
@@ -71,6 +71,12 @@
 	}
 }
 
+// hasVanished reports whether the machine has vanished on which a process listened at an address.
+func (c *Clock) hasVanished(address string) bool {
+	p := c.vanished[address]
+	return p != nil && p.unreachable
+}
+
 // Listen implements env.Environment. The address can be any string.
 func (p *Process) Listen(address string, accept func(env.Conn)) (env.Listener, error) {
 	if p.clock.listeners[address] != nil {
@@ -100,6 +106,10 @@
 	c := p.clock
 	fail := func(after float64, err error) { c.schedule(p, c.now+after, func() { done(nil, err) }) }
 	target := c.listeners[address]
+	if target == nil && c.hasVanished(address) {
+		fail(timeout, errTimeout)
+		return
+	}
 	if target == nil {
 		fail(c.delay(&link{}), errRefused)
 		return
--- a/internal/lab/sim/process.go
+++ b/internal/lab/sim/process.go
@@ -30,9 +30,10 @@
 	incarnation int
 	dead        bool
 
-	paused    bool
-	resumedAt float64 // true time in ms
-	deferred  []event // events that were due while the process was paused
+	unreachable bool // its machine has vanished, with what listened there
+	paused      bool
+	resumedAt   float64 // true time in ms
+	deferred    []event // events that were due while the process was paused
 
 	clockError float64 // error of the machine's wall clock, ms
 	drift      float64 // fraction by which the machine's clock runs fast
@@ -57,6 +58,7 @@
 func (p *Process) Start() {
 	p.incarnation++
 	p.dead, p.paused, p.deferred, p.effectsUntilKill, p.resumedAt = false, false, nil, 0, math.Inf(-1)
+	p.unreachable = false
 	p.startedAt, p.clockBase = p.clock.now, clockOrigin+p.clock.now+p.clockError
 }
 
@@ -85,6 +87,21 @@
 	}
 }
 
+// Vanish ends the process with its machine: its connections stay open and silent, and new ones to the addresses at which it listened never come
+// up. When it is started again, or another process listens at its addresses, the old connections are reset once something is sent on them.
+func (p *Process) Vanish() {
+	if p.dead {
+		return
+	}
+	p.unreachable = true
+	for _, l := range p.clock.listeners {
+		if l.process == p {
+			p.clock.vanished[l.address] = p
+		}
+	}
+	p.Kill(true)
+}
+
 // KillAfterEffects kills the process at its n-th effect from now, n being the argument. Effects are messages, dials and writes to its disk.
 func (p *Process) KillAfterEffects(effects int) { p.effectsUntilKill = effects }
 
--- a/internal/platform/client_requests.go
+++ b/internal/platform/client_requests.go
@@ -5,6 +5,7 @@
 
 	"ravenpond/internal/decide/admission"
 	"ravenpond/internal/decide/connlimits"
+	"ravenpond/internal/decide/nodefailure"
 	codec "ravenpond/internal/proto/platform"
 	"ravenpond/logic"
 )
@@ -160,6 +161,7 @@
 	s.telemetry.count(countRecovered)
 	r := &request{
 		task: task, tenant: f.tenant, jobClass: f.jobClass, demand: f.demand, client: c, node: n, answered: true, running: true,
+		placed: nodefailure.Placement{KnownAt: now},
 	}
 	c.addTask(r)
 	n.addTask(r)
--- a/internal/platform/endpoint_watch.go
+++ b/internal/platform/endpoint_watch.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 
+	"github.com/rs/zerolog"
+
 	"ravenpond/internal/decide/watchretry"
 	codec "ravenpond/internal/proto/platform"
 	"ravenpond/logic"
@@ -52,7 +54,9 @@
 }
 
 // AddEndpoint applies the state of one endpoint.
-func (e *initialEvents) AddEndpoint(endpoint codec.Endpoint) { e.watch.apply(endpoint) }
+func (e *initialEvents) AddEndpoint(endpoint codec.Endpoint) {
+	e.watch.apply(e.watch.server.env.Now(), endpoint)
+}
 
 // tick reconnects to the journal service when that is due, and answers the module's poll.
 func (w *endpointWatch) tick(now float64) {
@@ -145,7 +149,7 @@
 
 // AddEndpoint applies one endpoint of the event.
 func (u *listUpdate) AddEndpoint(endpoint codec.Endpoint) {
-	if n := u.watch.apply(endpoint); n != nil {
+	if n := u.watch.apply(u.now, endpoint); n != nil {
 		u.listed[n] = true
 	}
 }
@@ -164,7 +168,7 @@
 }
 
 // apply applies the state of a node. It returns the node, or nil if the node is unavailable and was not known before.
-func (w *endpointWatch) apply(endpoint codec.Endpoint) *node {
+func (w *endpointWatch) apply(now float64, endpoint codec.Endpoint) *node {
 	s := w.server
 	n := s.nodes.named(endpoint.Name)
 	if n == nil {
@@ -177,7 +181,11 @@
 	if startedAt > 0 {
 		startedAt -= epochUnixMs
 	}
+	s.telemetry.trace("listed", 0, func(e *zerolog.Event) {
+		e.Str("node", n.name).Str("address", endpoint.Address).Uint8("availability", uint8(endpoint.Availability)).Float64("since", endpoint.StartedAt)
+	})
 	n.setState(endpoint.Address, endpoint.Availability)
+	n.onListed(now, startedAt)
 	zone, okZone := s.names.zones[endpoint.Zone]
 	kind, okKind := s.names.kinds[endpoint.Kind]
 	if !okZone || !okKind {
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -20,6 +21,7 @@
 	running         map[*request]bool
 	pendingStops    []pendingStop // oldest first
 	failureDetector nodefailure.Detector
+	processStart    nodefailure.ProcessStart
 }
 
 // pendingStop is a task that is to be stopped once there is a connection to its node.
@@ -48,9 +50,13 @@
 	}
 }
 
-// stopTask stops a task on the node: it sends the stop on any open connection, or queues it until there is one.
+// stopTask stops a task on the node: it sends the stop on an open connection, or queues it until there is one. The newest connection comes first,
+// as an older one may lead to a process that has ended.
 func (n *node) stopTask(task uint64) {
-	for _, c := range n.conns {
+	newestFirst := slices.SortedFunc(slices.Values(n.conns), func(x, y *nodeConn) int {
+		return cmp.Compare(y.history.DialedAt, x.history.DialedAt)
+	})
+	for _, c := range newestFirst {
 		if c.sendStop(task) {
 			return
 		}
@@ -141,14 +147,39 @@
 	}
 }
 
+// onListed records the start time that the node list gives. If it is that of a later process, the tasks of the earlier one have ended. This comes
+// before the module is told of the start: the module then takes the new process for empty.
+func (n *node) onListed(now, startedAt float64) {
+	if n.processStart.OnListed(now, startedAt) {
+		n.endTasksOfEarlierProcess(now)
+	}
+}
+
+// endTasksOfEarlierProcess ends the tasks that ended with an earlier process of the node. It also stops them, in case one still runs.
+func (n *node) endTasksOfEarlierProcess(now float64) {
+	s := n.server
+	ended := n.sortedTasks()
+	ended = slices.DeleteFunc(ended, func(r *request) bool { return !n.processStart.HasEnded(r.placed) })
+	if len(ended) == 0 {
+		return
+	}
+	s.log.Info().Str("mode", "lost").Str("node", n.name).Int("stood", len(n.running)).Int("ended", len(ended)).
+		Msg("node restarted; ending the tasks of its earlier process")
+	for _, r := range ended {
+		task := r.task
+		n.loseTask(now, r)
+		n.stopTask(task)
+	}
+	s.loop.wake()
+}
+
 // loseTasks ends the running tasks of a node that has failed. It also queues their stops, in case the node is only partitioned and comes back.
 func (n *node) loseTasks(now float64) {
 	s := n.server
 	s.log.Info().Str("mode", "lost").Str("node", n.name).Int("stood", len(n.running)).Msg("node failed; ending its running tasks")
-	for _, r := range slices.SortedFunc(maps.Keys(n.running), byAllocation) {
+	for _, r := range n.sortedTasks() {
 		task := r.task
-		s.telemetry.countOutcome(logic.ConnectionLost)
-		s.host.OnTaskLost(now, r.allocID)
+		n.loseTask(now, r)
 		if !n.isUnavailable() {
 			n.queueStop(now, task)
 		}
@@ -156,6 +187,15 @@
 	s.loop.wake()
 }
 
+// loseTask ends a running task whose end the node can't report.
+func (n *node) loseTask(now float64, r *request) {
+	n.server.telemetry.countOutcome(logic.ConnectionLost)
+	n.server.host.OnTaskLost(now, r.allocID)
+}
+
+// sortedTasks returns the tasks that run on the node, by allocation.
+func (n *node) sortedTasks() []*request { return slices.SortedFunc(maps.Keys(n.running), byAllocation) }
+
 // sendAttempt sends the attempt of a request on a connection to the node. If there can be none, the attempt ends as not sent.
 func (n *node) sendAttempt(r *request) {
 	c := n.connFor(n.server.env.Now())
@@ -208,7 +248,8 @@
 // dial starts to make a connection to the node.
 func (n *node) dial() *nodeConn {
 	s := n.server
-	c := &nodeConn{server: s, node: n, idleSince: s.env.Now()}
+	now := s.env.Now()
+	c := &nodeConn{server: s, node: n, idleSince: now, history: &nodefailure.Connection{DialedAt: now}}
 	n.conns = append(n.conns, c)
 	s.nodes.addConn()
 	s.telemetry.count(countDials)
--- a/internal/platform/node_conn.go
+++ b/internal/platform/node_conn.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"ravenpond/internal/decide/connlimits"
+	"ravenpond/internal/decide/nodefailure"
 	"ravenpond/internal/decide/outcome"
 	"ravenpond/internal/env"
 	codec "ravenpond/internal/proto/platform"
@@ -19,7 +20,8 @@
 type nodeConn struct {
 	server      *Server
 	node        *node
-	conn        env.Conn        // nil while the connection is being made
+	conn        env.Conn // nil while the connection is being made
+	history     *nodefailure.Connection
 	partial     []byte          // the received part of an incomplete message
 	requests    []*request      // requests whose attempts are in flight on this connection
 	abandoned   map[uint64]bool // tasks that are to be stopped if their late answers are received
@@ -113,7 +115,8 @@
 		}
 	}
 	c.conn = conn
-	c.idleSince = now
+	c.idleSince, c.history.EstablishedAt = now, now
+	s.telemetry.trace("connected", 0, func(e *zerolog.Event) { e.Str("node", c.node.name).Int("links", len(c.node.conns)) })
 	c.node.failureDetector.OnContact(now)
 	conn.Start(c, connlimits.WriteTimeout)
 	for _, r := range slices.Clone(c.requests) {
@@ -228,7 +231,9 @@
 	c.server.telemetry.trace("link broke", 0, func(e *zerolog.Event) {
 		e.Str("node", c.node.name).Str("why", cause).Int("open", len(c.requests)).Bool("spent", c.draining)
 	})
+	c.history.Broken = true
 	c.fail(func(r *request) logic.Outcome { return outcome.VerdictAfterDisconnect(r.sentThrough <= handedOver) })
+	c.node.endTasksOfEarlierProcess(c.server.env.Now())
 }
 
 // onMalformed closes a connection on which a malformed message was received.
--- a/internal/platform/node_messages.go
+++ b/internal/platform/node_messages.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rs/zerolog"
 
+	"ravenpond/internal/decide/nodefailure"
 	"ravenpond/internal/decide/outcome"
 	codec "ravenpond/internal/proto/platform"
 	"ravenpond/logic"
@@ -22,6 +23,7 @@
 		return
 	}
 	c.node.failureDetector.OnContact(now)
+	c.history.ReceivedAt = now
 	rest, err := splitMessages(c.partial, b, func(msg []byte) error {
 		if c.closed {
 			return nil
@@ -89,7 +91,7 @@
 		return nil
 	}
 	s.requests.markAnswered(r)
-	r.running = true
+	r.running, r.placed = true, nodefailure.Placement{KnownAt: now, AnsweredOn: c.history}
 	s.telemetry.count(countServed)
 	s.telemetry.trace("served", task, nil)
 	if r.clientGone() || !r.client.sendAnswer(r, description) {
--- a/internal/platform/sim_rig_test.go
+++ b/internal/platform/sim_rig_test.go
@@ -260,6 +260,11 @@
 
 func (x *testClient) request(task uint64, jobClass string) { x.send(setUp(task, jobClass)) }
 
+// handOver hands over a task that runs at a node.
+func (x *testClient) handOver(task uint64, node string) {
+	x.send(setUp(task, "single", codec.ParamDemand, demandText+";at:"+node))
+}
+
 // fakeJournal is a simulated journal service.
 type fakeJournal struct {
 	rig      *simRig
