platform: remember the ends of tasks that are handed over afterwards

Cause, from a trace of the case: the restarted scheduler checks its nodes 0.1 s after its start, and the node sends the kept releases on that connection. They arrive half a second before the hand-overs; nodeConn.onEnd ignored the end of a task that it did not hold, and nothing tells of it a second time. Ruled out: a release that never came, or lay unread on a closed connection (the trace has each), and a malformed hand-over (all are accepted). The drop itself could not be read off the log: trace "unclaimed end" and three counts do that now.

A hand-over of such a task is answered with its end, a repeated one again. Ends of tasks that were held, and tasks that the scheduler called over, are remembered as well: a hand-over that crosses the notification found the task forgotten and held it for good, too. An end that proves that nothing ran (34, 102) is not remembered, nor a client's release of an unknown task, which may be about a request that was given up.

Open: a node may send its release on another scheduler's connection alone; the protocol has no question for it.

--- a/internal/platform/client_requests.go
+++ b/internal/platform/client_requests.go
@@ -146,13 +146,18 @@
 	return nil
 }
 
-// recoverTask takes over a task that already runs at a node. The client needs no answer, only the notification of the task's end.
+// recoverTask takes over a task that already runs at a node. The client needs no answer, only the notification of the task's end, which it gets at
+// once if the task has ended before.
 func (c *clientConn) recoverTask(now float64, task uint64, f requestFields) *rejection {
 	s := c.server
 	n := s.nodes.named(f.demand.RunsAt)
 	if n == nil {
 		return &rejection{codec.CauseReset, "at a node that is not there"}
 	}
+	if verdict, ended := s.ended.Find(now, n.taskKey(task)); ended {
+		c.notifyEarlierEnd(now, n, task, verdict)
+		return nil
+	}
 	if s.requests.held() >= s.limits.Held {
 		return busy("too much is held")
 	}
@@ -169,3 +174,13 @@
 	n.keepConnected(now)
 	return nil
 }
+
+// notifyEarlierEnd notifies the client that a task that it hands over has ended before.
+func (c *clientConn) notifyEarlierEnd(now float64, n *node, task uint64, verdict logic.Outcome) {
+	s := c.server
+	c.active = true
+	s.clients.promote(now, c)
+	s.telemetry.count(countRecoveredEnded)
+	s.telemetry.trace("over before its hand-over", task, func(e *zerolog.Event) { e.Str("node", n.name).Uint8("verdict", uint8(verdict)) })
+	s.notifier.notifyEnd(&request{task: task, client: c}, verdict)
+}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -7,6 +7,7 @@
 
 	"ravenpond/internal/decide/budget"
 	"ravenpond/internal/decide/connlimits"
+	"ravenpond/internal/decide/endedtasks"
 	"ravenpond/internal/decide/nodefailure"
 	"ravenpond/logic"
 )
@@ -189,10 +190,19 @@
 
 // loseTask ends a running task whose end the node can't report.
 func (n *node) loseTask(now float64, r *request) {
+	n.rememberEnd(now, r.task, logic.ConnectionLost)
 	n.server.telemetry.countOutcome(logic.ConnectionLost)
 	n.server.host.OnTaskLost(now, r.allocID)
 }
 
+// rememberEnd remembers that a task has ended at the node.
+func (n *node) rememberEnd(now float64, task uint64, verdict logic.Outcome) {
+	n.server.ended.Add(now, n.taskKey(task), verdict)
+}
+
+// taskKey returns the key of a task at the node.
+func (n *node) taskKey(task uint64) endedtasks.Task { return endedtasks.Task{Node: n.id, ID: task} }
+
 // sortedTasks returns the tasks that run on the node, by allocation.
 func (n *node) sortedTasks() []*request { return slices.SortedFunc(maps.Keys(n.running), byAllocation) }
 
--- a/internal/platform/node_messages.go
+++ b/internal/platform/node_messages.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rs/zerolog"
 
+	"ravenpond/internal/decide/endedtasks"
 	"ravenpond/internal/decide/nodefailure"
 	"ravenpond/internal/decide/outcome"
 	codec "ravenpond/internal/proto/platform"
@@ -122,7 +123,11 @@
 	s := c.server
 	report := s.nodes.parseReport(msg)
 	r := s.requests.task(task)
-	if r == nil || r.node != c.node {
+	if r == nil {
+		c.onUnclaimedEnd(now, task, cause)
+		return nil
+	}
+	if r.node != c.node {
 		return nil
 	}
 	reason := codec.ReasonOf(msg)
@@ -136,11 +141,27 @@
 		}
 	}
 	if r.running {
-		s.requests.complete(r, attemptOutcome{codec.VerdictOfRunning(cause), reason, report})
+		verdict := codec.VerdictOfRunning(cause)
+		c.node.rememberEnd(now, task, verdict)
+		s.requests.complete(r, attemptOutcome{verdict, reason, report})
 	}
 	return nil
 }
 
+// onUnclaimedEnd processes the end of a task that the scheduler does not hold: it belongs to another scheduler, its client was notified before, or
+// its client hands it over in a moment.
+func (c *nodeConn) onUnclaimedEnd(now float64, task uint64, cause byte) {
+	s := c.server
+	remembered := endedtasks.IsEndOfRun(codec.VerdictBeforeAnswer(cause))
+	s.telemetry.count(countUnclaimedEnds)
+	s.telemetry.trace("unclaimed end", task, func(e *zerolog.Event) {
+		e.Str("node", c.node.name).Uint8("cause", cause).Bool("remembered", remembered)
+	})
+	if remembered {
+		c.node.rememberEnd(now, task, codec.VerdictOfRunning(cause))
+	}
+}
+
 // onEarlyEnd processes the end of an attempt that its node has not answered. If the task was running, its answer may still follow; the node is then
 // told to stop the task, as the client has its final answer.
 func (c *nodeConn) onEarlyEnd(now float64, r *request, cause byte, o attemptOutcome) {
--- a/internal/platform/node_restart_test.go
+++ b/internal/platform/node_restart_test.go
@@ -197,7 +197,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := startRig(t, "a")
 			x := r.dial()
-			x.handOver(7, "a")
+			x.handOver()
 			handedOverAt := r.unixNow()
 			r.advance(3000)
 			r.journal.publish(entrySince(handedOverAt + c.since))
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -11,6 +11,7 @@
 //	nodeTable         nodes (node) and the connections to them (nodeConn)
 //	endpointWatch     the node list, as watched at the journal service (watchConn)
 //	notifier          notifications of clients, and those that could not be sent yet
+//	endedtasks.Memory ends of tasks, for clients that hand them over afterwards
 //	shutdownSequence  the steps of a planned shutdown
 //	telemetry         counters, traces and the statistics line of the log
 //	host.Host         the placement module with its attempts and timers
@@ -34,6 +35,7 @@
 	"github.com/rs/zerolog"
 
 	"ravenpond/internal/decide/budget"
+	"ravenpond/internal/decide/endedtasks"
 	"ravenpond/internal/env"
 	"ravenpond/internal/platform/host"
 	"ravenpond/internal/settings"
@@ -58,6 +60,7 @@
 	nodes     nodeTable
 	endpoints endpointWatch
 	notifier  notifier
+	ended     *endedtasks.Memory
 	shutdown  shutdownSequence
 	telemetry telemetry
 }
@@ -75,6 +78,7 @@
 	s.nodes = newNodeTable(s)
 	s.endpoints = newEndpointWatch(s, configuration.Journal)
 	s.notifier = notifier{server: s}
+	s.ended = endedtasks.NewMemory()
 	s.shutdown = newShutdownSequence(s)
 	s.telemetry = newTelemetry(s)
 	return s
--- a/internal/platform/sim_rig_test.go
+++ b/internal/platform/sim_rig_test.go
@@ -260,10 +260,8 @@
 
 func (x *testClient) request(task uint64, jobClass string) { x.send(setUp(task, jobClass)) }
 
-// handOver hands over a task that runs at a node.
-func (x *testClient) handOver(task uint64, node string) {
-	x.send(setUp(task, "single", codec.ParamDemand, demandText+";at:"+node))
-}
+// handOver hands over task 7, which runs at node a by the client's knowledge.
+func (x *testClient) handOver() { x.send(setUp(7, "single", codec.ParamDemand, demandText+";at:a")) }
 
 // fakeJournal is a simulated journal service.
 type fakeJournal struct {
--- a/internal/platform/telemetry.go
+++ b/internal/platform/telemetry.go
@@ -35,6 +35,8 @@
 	countEnded                         // tasks whose clients were notified of the end
 	countMoved                         // tasks that clients were notified to request again
 	countRecovered                     // running tasks that were taken over
+	countRecoveredEnded                // tasks that clients handed over after they had ended
+	countUnclaimedEnds                 // ends of tasks that the scheduler did not hold
 	countAttempts                      // attempts at nodes
 	countDials                         // dials to nodes
 	countNodeChecks                    // dials that check whether a node is reachable
@@ -57,6 +59,7 @@
 	outcomes    [numOutcomes]int // outcomes of attempts and running tasks, since the start
 	maxDelay    float64          // the largest delay of the process since the last statistics line, in ms
 	lastStats   float64          // the time of the last statistics line
+	endsDropped bool             // it was logged that ends were dropped
 }
 
 func newTelemetry(s *Server) telemetry {
@@ -76,6 +79,10 @@
 
 // tick logs the statistics line when it is due.
 func (t *telemetry) tick(now float64) {
+	if dropped := t.server.ended.Dropped(); dropped > 0 && !t.endsDropped {
+		t.endsDropped = true
+		t.server.log.Warn().Str("mode", "ends").Msg("more ends of tasks than can be remembered; a task that is handed over late may count as running")
+	}
 	if now-t.lastStats > statsInterval {
 		t.lastStats = now
 		t.diagnostics.Do("counts", t.logStats)
@@ -93,7 +100,9 @@
 	line.Float64("lag_ms", math.Round(t.maxDelay))
 	t.addCounts(line, countField{"served", countServed}, countField{"declined", countShed}, countField{"failed", countFailed},
 		countField{"withdrawn", countWithdrawn}, countField{"over", countEnded}, countField{"moved", countMoved},
-		countField{"found", countRecovered}, countField{"offers", countAttempts})
+		countField{"found", countRecovered}, countField{"found_ended", countRecoveredEnded}, countField{"unclaimed_ends", countUnclaimedEnds})
+	line.Int("dropped_ends", s.ended.Dropped())
+	t.addCounts(line, countField{"offers", countAttempts})
 	line.Ints("verdicts", t.outcomes[:])
 	t.addCounts(line, countField{"dials", countDials}, countField{"looks", countNodeChecks}, countField{"refused", countDialsFailed},
 		countField{"spent", countDialsExhausted}, countField{"spoilt", countMalformed}, countField{"expelled", countEvicted},
