platform: make a connection to send the stops of tasks that were called lost

The stops wait for the next connection, but a connection from before the cut is still open, so that none is made: the task runs on beside that of its client's next request until the old connection goes as idle, and for good if the stops have expired by then (20 s).

Change: as long as stops wait, the node is checked by a new connection, at the detector's usual pace, on which they are sent. Expired stops are dropped in the tick too, which ends the checks.

Measured: TestStopAfterPartition fails before ("the task runs on") and passes.

--- a/internal/platform/hand_over_test.go
+++ b/internal/platform/hand_over_test.go
@@ -107,3 +107,25 @@
 		})
 	}
 }
+
+// TestStopAfterPartition guards against a task that runs on after it was called over, beside that of its client's next request: once its node can be
+// reached again, the stop is sent on a new connection, even though an old one is still open.
+func TestStopAfterPartition(t *testing.T) {
+	r := startRig(t, "a")
+	n, x := r.nodes["a"], r.dial()
+	x.request(7, "batch")
+	r.advance(1000)
+	r.clock.SetCut("scheduler", "node-a", true)
+	r.advance(12000)
+	x.want("while the node is cut off", "7 served "+n.description(7), "7 end 41")
+	r.clock.SetCut("scheduler", "node-a", false)
+	r.advance(1000)
+	if n.running[7] {
+		t.Error("the task runs on")
+	}
+	looks := r.server.telemetry.counts[countNodeChecks]
+	r.advance(30000)
+	if got := r.server.telemetry.counts[countNodeChecks] - looks; got > 0 {
+		t.Errorf("%d further checks of the node after the stop was sent, want none", got)
+	}
+}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -75,11 +75,26 @@
 	n.pendingStops = append(kept, pendingStop{task, now + connlimits.NodeStopRetention})
 }
 
+// deliverStops makes a new connection on which the pending stops are sent, as those that are open may be silent: a node that was called failed can
+// be back without having closed them. Expired stops are dropped.
+func (n *node) deliverStops(now float64) {
+	n.dropExpiredStops(now)
+	if len(n.pendingStops) > 0 && !n.isUnavailable() {
+		n.check(now, false)
+	}
+}
+
+// dropExpiredStops drops the pending stops that have expired.
+func (n *node) dropExpiredStops(now float64) {
+	n.pendingStops = slices.DeleteFunc(n.pendingStops, func(stop pendingStop) bool { return now >= stop.expires })
+}
+
 // takeStops removes all pending stops and returns those that have not expired.
 func (n *node) takeStops(now float64) []pendingStop {
+	n.dropExpiredStops(now)
 	stops := n.pendingStops
 	n.pendingStops = nil
-	return slices.DeleteFunc(stops, func(stop pendingStop) bool { return now >= stop.expires })
+	return stops
 }
 
 // keepConnected makes a connection, if there is none, to a node where a task runs or is to be stopped, as the node may send the end of a task on
@@ -111,7 +126,7 @@
 			n.loseTasks(now)
 		}
 	} else {
-		n.keepConnected(now)
+		n.deliverStops(now)
 	}
 	if n.isUnavailable() && len(n.conns) == 0 && len(n.running) == 0 {
 		n.server.nodes.remove(n)
