platform: send pending ends to a client that keeps a connection without requests

A connection that only tests is told from one that stays by its age now: 1 s.

Measured: TestEndWithoutFurtherRequest fails before and passes; it also checks that a connection for a test alone does not take the notification.

--- a/internal/decide/connlimits/connlimits.go
+++ b/internal/decide/connlimits/connlimits.go
@@ -26,10 +26,18 @@
 	NodeStopRetention       = 20000 // ms for which a pending stop is kept
 	MaxPendingNotifications = 4096  // ends of tasks of which no client could be notified yet
 	VerifiedConnWait        = 400   // ms that a notification of an end, which may take 1 s, waits for a verified connection
+	testOnlyConnAge         = 1000  // ms after which a connection with nothing but a test was not opened for the test alone
 	healthCheckTimeout      = 1000  // ms without an answer to a health check
 	idleFraction            = 0.6   // fraction of the time after which a node closes an idle connection
 )
 
+// MayCarryNotification reports whether a pending notification may be sent on a client connection that is age ms old: one on which a request was
+// served or received, or one that was kept open after a valid message. A connection that is opened for a test alone is closed at once, and what is
+// sent on it is lost.
+func MayCarryNotification(verified, requested, active bool, age float64) bool {
+	return verified || requested || active && age >= testOnlyConnAge
+}
+
 // IsReusable reports whether a connection that was idle for some ms may still be used, given that nodes close idle connections after closeAfter
 // ms. If a node closes a connection while a request is in flight, the outcome of the request is unknown.
 func IsReusable(idle, closeAfter float64) bool { return idle <= idleFraction*closeAfter }
--- a/internal/platform/client_listener.go
+++ b/internal/platform/client_listener.go
@@ -127,7 +127,7 @@
 			c.evict("silent")
 		case len(c.partial) > 0 && now-c.partialSince > connlimits.MessageTimeout:
 			c.evict("incomplete message")
-		case s.notifier.hasPending() && (c.verified || c.requested) && c.isOpen():
+		case s.notifier.hasPending() && connlimits.MayCarryNotification(c.verified, c.requested, c.active, now-c.acceptedAt) && c.isOpen():
 			s.notifier.sendPending(now, c)
 		}
 	}
--- a/internal/platform/notifier.go
+++ b/internal/platform/notifier.go
@@ -60,8 +60,8 @@
 // hasPending reports whether notifications wait for a connection.
 func (n *notifier) hasPending() bool { return len(n.pending) > 0 }
 
-// sendPending sends pending notifications on a connection: all of them if it is verified, else those that have waited for a verified one for at
-// least connlimits.VerifiedConnWait.
+// sendPending sends pending notifications on a connection that may carry them: all of them if it is verified, else those that have waited for a
+// verified one for at least connlimits.VerifiedConnWait.
 func (n *notifier) sendPending(now float64, c *clientConn) {
 	for len(n.pending) > 0 && (c.verified || now-n.pending[0].since >= connlimits.VerifiedConnWait) && c.send(n.pending[0].appendTo) {
 		n.pending = n.pending[1:]
--- a/internal/platform/server_test.go
+++ b/internal/platform/server_test.go
@@ -77,6 +77,28 @@
 	}
 }
 
+// TestEndWithoutFurtherRequest guards against ends of which a client is never told because it has no further request: it keeps a connection open on
+// which it has only tested the scheduler. A connection that it opens for a test alone does not take the notification with it.
+func TestEndWithoutFurtherRequest(t *testing.T) {
+	r := startRig(t, "a")
+	x := r.dial()
+	x.request(7, "batch")
+	r.advance(100)
+	x.conn.Close(true, nil)
+	r.advance(100)
+	sendEnd(r)
+	r.advance(1000)
+	tested := r.dial()
+	tested.send(codec.AppendHealthCheck(nil, 1, false))
+	r.advance(500)
+	tested.want("the connection for a test", "1 tested 1")
+	tested.conn.Close(true, nil)
+	kept := r.dial()
+	kept.send(codec.AppendHealthCheck(nil, 2, false))
+	r.advance(2000)
+	kept.want("the connection that is kept open", "2 tested 1", "7 end 16")
+}
+
 func sendEnd(r *simRig) { r.nodes["a"].conns[0].send(codec.AppendEnd(nil, 7, codec.CauseNormal)) }
 
 func sendMove(r *simRig) {
