lab/platformsim: check every end, let machines vanish, hand over what has ended

Not checked, but counted (Undecidable): tasks that were handed over after their node had restarted, and ends that were reported to a process that was killed, or stopped before it was handed the task.

--- a/internal/lab/platformsim/abandoned.go
+++ b/internal/lab/platformsim/abandoned.go
@@ -26,6 +26,41 @@
 	})
 }
 
+// Listen implements env.Environment.
+func (oe observedEnvironment) Listen(address string, accept func(env.Conn)) (env.Listener, error) {
+	return oe.Environment.Listen(address, func(c env.Conn) { accept(&observedClientConn{Conn: c, sim: oe.sim}) })
+}
+
+// observedClientConn is a connection of a client on which it is observed when the end of a task is sent.
+type observedClientConn struct {
+	env.Conn
+	sim *simulation
+}
+
+// Send implements env.Conn.
+func (oc *observedClientConn) Send(appendTo func([]byte) []byte) (uint64, int, bool) {
+	return oc.Conn.Send(func(b []byte) []byte {
+		before := len(b)
+		b = appendTo(b)
+		oc.sim.onSentToClient(b[before:])
+		return b
+	})
+}
+
+// onSentToClient records when a scheduler sends the ends of tasks, of which there may be several in one call.
+func (sm *simulation) onSentToClient(b []byte) {
+	for {
+		msg, size, err := codec.Next(b)
+		if err != nil || size == 0 {
+			return
+		}
+		if t := sm.tasks[codec.Task(msg)]; t != nil && codec.Kind(msg) != codec.KindAnswer {
+			t.releasedAt = sm.clock.TrueTime()
+		}
+		b = b[size:]
+	}
+}
+
 // observedConn is a connection on which each attempt is observed when it is sent.
 type observedConn struct {
 	env.Conn
--- a/internal/lab/platformsim/journal.go
+++ b/internal/lab/platformsim/journal.go
@@ -81,6 +81,11 @@
 	j.silentUntil = max(j.silentUntil, j.silentSince+ms)
 }
 
+// isSilentSince reports whether the service fell silent so early that its scheduler may not have been notified of an event at a true time in ms.
+func (j *journal) isSilentSince(event float64) bool {
+	return j.silentUntil > 0 && event < j.silentUntil && j.sim.clock.TrueTime() < j.silentUntil+silenceRecovery
+}
+
 func (j *journal) close() { j.closed = true; j.process.Kill(false) }
 
 // snapshot encodes all events as a scheduler's initial events.
@@ -141,6 +146,7 @@
 	change := listChange{n.name, n.address, n.zone, n.status, n.cell, n.startedAt}
 	sm.listChanges = append(sm.listChanges, change)
 	n.announcements++
+	n.announcedAt = sm.clock.TrueTime()
 	changes := []listChange{change}
 	if sm.rng.IntN(repeatedEvents) == 0 {
 		changes = append(changes, change)
--- a/internal/lab/platformsim/peerconn.go
+++ b/internal/lab/platformsim/peerconn.go
@@ -76,6 +76,14 @@
 	return 0
 }
 
+// peerName returns the name of the host at the other end, or "" if it is unknown.
+func (pc *peerConn) peerName() string {
+	if c, ok := pc.conn.(interface{ PeerName() string }); ok {
+		return c.PeerName()
+	}
+	return ""
+}
+
 // reset breaks the connection. On the simulated network the scheduler notices at once if both is set, else when it sends.
 func (pc *peerConn) reset(both bool) {
 	if c, ok := pc.conn.(interface{ Reset(bool) }); ok && !pc.closed {
--- /dev/null
+++ b/internal/lab/platformsim/release.go
@@ -0,0 +1,67 @@
+package platformsim
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Times of the notification that a running task has ended, in ms.
+const (
+	releaseLimit   = 8000 + 50 // from the end, or from the hand-over to a restarted scheduler, to the client's notification
+	releaseRecheck = 500       // while the task's scheduler is down, or was not handed the task yet
+	releaseTransit = 5         // most time that a message takes to a client
+	clockTolerance = 500       // by which the clocks of the node list and of schedulers may differ
+)
+
+// expectRelease checks that a client is notified in time that its running task has ended, however the end came about. It is not used under
+// overload, where expectEnd checks a shorter limit, and not on sockets, where it is not seen which notifications a client's own close has lost.
+func (sm *simulation) expectRelease(t *task, n *node) {
+	if _, simulated := sm.clock.(*simWorld); simulated && sm.overload == nil {
+		sm.checkRelease(t, n, sm.clock.TrueTime())
+	}
+}
+
+// checkRelease checks the notification of a task that ended at a node when its time is over, or looks again later.
+func (sm *simulation) checkRelease(t *task, n *node, endedAt float64) {
+	now, s := sm.clock.TrueTime(), t.scheduler
+	due := max(endedAt, t.heldSince) + releaseLimit
+	held := s.server != nil && t.heldBy == s.incarnation
+	switch {
+	case now >= endedAt+releaseLimit && (!t.running || t.node != n) || s.client.lostByClose(t.releasedAt):
+	case now < due:
+		sm.clock.At(due, func() { sm.checkRelease(t, n, endedAt) })
+	case !held:
+		sm.after(releaseRecheck, func() { sm.checkRelease(t, n, endedAt) })
+	case t.isReportLost(), !sm.CheckRestartedNodes && t.isHandedOverAfterRestart(n, endedAt):
+		sm.result.Undecidable++
+	default:
+		sm.fail(fmt.Sprintf("rule 1: task %x ended at %s %.0f ms ago, %s holds it for %.0f ms, and did not notify its client", t.id, n.name, now-endedAt,
+			s.name, now-t.heldSince))
+	}
+}
+
+// isHandedOverAfterRestart reports whether a task that ended with a process of its node was handed over only once another process ran there, or
+// around its start. No message of the protocol tells the scheduler which of the two processes started the task.
+func (t *task) isHandedOverAfterRestart(n *node, endedAt float64) bool {
+	return t.handedOver && slices.ContainsFunc(n.starts, func(at float64) bool { return at > endedAt && at <= t.heldSince+clockTolerance })
+}
+
+// recordReport records that a node reports the end of a task on a connection.
+func (sm *simulation) recordReport(end unsentEnd, pc *peerConn) {
+	if t := sm.tasks[end.task]; pc.peerName() == end.scheduler {
+		t.reportedTo = t.scheduler.incarnation
+	}
+}
+
+// isReportLost reports whether the node has reported the end for the last time to an earlier incarnation of the scheduler that could not notify the
+// client: it was killed outright, or ended before it was handed the task. The node does not report the end again.
+func (t *task) isReportLost() bool {
+	earlier := t.handedOver && t.reportedTo > 0 && t.reportedTo < t.heldBy
+	return earlier && (t.scheduler.killedOutright[t.reportedTo] || t.reportedTo != t.heldBefore)
+}
+
+// lostByClose reports whether a message that was sent at a time crossed the client's own close of its connection. On the simulated network a closed
+// end reads nothing more.
+func (c *client) lostByClose(sentAt float64) bool {
+	return sentAt > 0 && slices.ContainsFunc(c.disconnects, func(at float64) bool { return sentAt >= at-releaseTransit && sentAt <= at+releaseTransit })
+}
--- a/internal/lab/platformsim/restarts.go
+++ b/internal/lab/platformsim/restarts.go
@@ -91,7 +91,8 @@
 		}
 		n.conclude(id, att, "ended")
 		delete(n.tasks, id)
-		n.sendEnd(id, codec.CauseReset, "evicted")
+		n.sendEnd(unsentEnd{id, att.scheduler}, codec.CauseReset, "evicted")
+		n.sim.expectRelease(n.sim.tasks[id], n)
 	}
 }
 
--- a/internal/lab/platformsim/scheduler.go
+++ b/internal/lab/platformsim/scheduler.go
@@ -48,11 +48,15 @@
 	incarnation int
 	startedAt   float64 // true time in ms
 	stoppedAt   float64 // when it was told to stop, 0 if it was not; true time in ms
+
+	killedOutright map[int]bool // the incarnations that were killed without being told to stop
 }
 
 // addScheduler adds and starts scheduler index of count, with its client.
 func (sm *simulation) addScheduler(index, count int) {
-	s := &scheduler{sim: sm, name: fmt.Sprint("s", index), settings: fmt.Sprintf(settingsText, count, index, sm.reportMode)}
+	s := &scheduler{
+		sim: sm, name: fmt.Sprint("s", index), settings: fmt.Sprintf(settingsText, count, index, sm.reportMode), killedOutright: map[int]bool{},
+	}
 	if w, ok := sm.clock.(*simWorld); ok {
 		w.addProcess(s.name)
 	}
@@ -148,6 +152,12 @@
 	}
 }
 
+// killOutright ends the process at once, as kill does, without a planned restart.
+func (s *scheduler) killOutright(restartDelay float64) {
+	s.killedOutright[s.incarnation] = true
+	s.kill(restartDelay)
+}
+
 // kill ends the process at once, and starts it again after restartDelay, in ms.
 func (s *scheduler) kill(restartDelay float64) {
 	if s.server == nil {
--- a/internal/lab/platformsim/sockets.go
+++ b/internal/lab/platformsim/sockets.go
@@ -188,6 +188,9 @@
 // Kill implements host. The peers see that their connections are closed.
 func (h *socketHost) Kill(bool) { h.env.Close(0) }
 
+// Vanish implements host. A machine can't vanish on loopback, where connections to it are refused.
+func (h *socketHost) Vanish() { h.Kill(true) }
+
 // callback returns a function that calls f with the lock held, unless the host's incarnation has ended by then.
 func (h *socketHost) callback(f func()) func() {
 	incarnation := h.env
--- a/internal/lab/platformsim/world.go
+++ b/internal/lab/platformsim/world.go
@@ -34,6 +34,7 @@
 type host interface {
 	env.Environment
 	Kill(powerLoss bool)
+	Vanish() // ends with its machine: connections are silent, and new ones never come up until it is started again
 	Start()
 }
 
--- a/internal/lab/sim/conn.go
+++ b/internal/lab/sim/conn.go
@@ -104,6 +104,9 @@
 // Delivered returns how many of the sent bytes the other end has read.
 func (c *conn) Delivered() uint64 { return c.handedOver - uint64(c.inFlight) }
 
+// PeerName returns the name of the process at the other end.
+func (c *conn) PeerName() string { return c.remote.process.Name }
+
 // BytesWritten implements env.Conn.
 func (c *conn) BytesWritten() uint64 { return c.handedOverKnown }
 
