platform: let the tick wait after a pause of the process, as the host does

Change: the tick, which closes what is silent, late or unresponsive, is due no earlier than the host acts again.

--- a/internal/platform/host/host.go
+++ b/internal/platform/host/host.go
@@ -124,6 +124,10 @@
 	h.callModule(func(m *logic.Scheduler) { m.Decide(h.now) })
 }
 
+// ResumeAt returns when the process may act again after a pause: until then messages that were received during the pause may be unread. It is in
+// the past unless a round has just recorded a pause.
+func (h *Host) ResumeAt() float64 { return h.pauseDetector.ResumeAt() }
+
 // EarliestRound returns the earliest time of the next round.
 func (h *Host) EarliestRound() float64 { return h.lastRound + h.roundInterval }
 
--- a/internal/platform/turn_loop.go
+++ b/internal/platform/turn_loop.go
@@ -35,7 +35,8 @@
 }
 
 // turn starts requests that wait in the inbox, runs a round of the host, ticks the parts when a tick is due, and takes the next steps of a
-// shutdown. It returns the time until the next turn in ms.
+// shutdown. It returns the time until the next turn in ms. After a pause of the process the tick waits, as the host does: it would close connections
+// as silent on which unread messages lie.
 func (l *turnLoop) turn() (wait float64) {
 	s := l.server
 	s.mu.Lock()
@@ -50,12 +51,12 @@
 		started = s.requests.start(now, s.load.batchSize())
 	}
 	s.host.Round(now)
-	if now >= l.lastTick+tickInterval {
+	if now >= l.nextTick() {
 		l.lastTick = now
 		l.tick(now)
 	}
 	s.shutdown.step(now)
-	next := min(s.host.NextRound(), l.lastTick+tickInterval)
+	next := min(s.host.NextRound(), l.nextTick())
 	if s.requests.waiting() > 0 {
 		next = min(next, s.host.EarliestRound())
 	}
@@ -66,6 +67,9 @@
 	return wait
 }
 
+// nextTick returns when the next tick is due.
+func (l *turnLoop) nextTick() float64 { return max(l.lastTick+tickInterval, l.server.host.ResumeAt()) }
+
 // tick does the periodic work of the parts, such as closing stale connections.
 func (l *turnLoop) tick(now float64) {
 	s := l.server
