engine: test that a task is not held after its node comes back without it

Shown by a run of each job class: another incarnation ends the task, the same one without the task is asked for its end, and one that reports the task goes on.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -282,6 +282,47 @@
 	h.expect("effects of the task's end", h.takeEffects(), fmt.Sprintf("end 1 %d", logic.Completed))
 }
 
+// TestRunningTaskAfterReconnect guards against tasks that are held for good after their node lost its connection and came back: as another
+// incarnation, which the greeting tells, or without the task among those that it reports to hold. A task that it reports goes on.
+func TestRunningTaskAfterReconnect(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		incarnation uint64
+		held        bool
+		want        string
+	}{
+		{"another incarnation", 2, false, fmt.Sprintf("end 1 %d", logic.ConnectionLost)},
+		{"the same incarnation, without the task", 1, false, "claim 1.0"},
+		{"the same incarnation, with the task", 1, true, ""},
+	} {
+		for jobClass := range 4 {
+			t.Run(fmt.Sprintf("%s/%d", c.name, jobClass), func(t *testing.T) {
+				h := newHarness(t, true)
+				h.request(1, jobClass, 5000)
+				h.takeEffects()
+				node, attempt := h.lastOffer.node, h.lastOffer.attempt
+				if err := h.reportStart(20); err != nil {
+					t.Fatal(err)
+				}
+				h.expect("effects of the start", h.takeEffects(), "answer 1 served")
+				h.breakConnection(true)
+				h.advance(5000)
+				h.takeEffects()
+				h.engine.OnConnected(h.now, node, c.incarnation, 0)
+				if c.held {
+					held := HeldTask{Attempt: attempt, Running: true, Task: Task{JobClass: jobClass, Service: 99, Token: 1001, Cores: 1, Memory: 2}}
+					if err := h.engine.OnHeld(h.now, node, held); err != nil {
+						t.Fatal(err)
+					}
+				}
+				h.engine.OnHeldAll(h.now, node)
+				h.advance(100)
+				h.expect("effects of the reconnect", h.takeEffects(), c.want)
+			})
+		}
+	}
+}
+
 // TestPause pauses the process for longer than the time-out of an attempt in flight. A start that was received during the pause must be
 // processed before the time-out.
 func TestPause(t *testing.T) {
