platform: test silent connections to nodes that are no longer listed

Cause: a node that is gone is not dialed, and its tasks count as lost once its last connection has ended. An open connection that says nothing counted as life until it was closed as idle, and by that closing a gone node that was alive and quiet lost its tasks.

Change: after 3 s of silence a health check goes out on the open connections; one without an answer within 1 s is closed as any other.

--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"ravenpond/internal/decide/budget"
@@ -119,7 +120,9 @@
 func (n *node) tick(now float64) {
 	connected := n.closeStaleConns(now)
 	if len(n.running) > 0 {
-		if !n.isUnavailable() {
+		if n.isUnavailable() {
+			n.checkConns(now)
+		} else {
 			n.check(now, connected)
 		}
 		if n.failureDetector.IsLost(now, n.isUnavailable(), len(n.conns) > 0) {
@@ -133,13 +136,30 @@
 	}
 }
 
+// connCheckSeq is the number of health checks that show whether a connection is silent. The host numbers its own from 1.
+const connCheckSeq = math.MaxUint32
+
+// checkConns sends health checks on the connections to a silent node that is no longer on the node list. It is not dialed, as its address may have
+// gone to another node. A connection without an answer is closed as stale.
+func (n *node) checkConns(now float64) {
+	if !n.failureDetector.IsProbeDue(now, true) {
+		return
+	}
+	for _, c := range n.conns {
+		if c.canProbe(now) {
+			n.failureDetector.OnProbe(now)
+			c.startProbe(connCheckSeq)
+		}
+	}
+}
+
 // closeStaleConns closes stale connections and reports whether other established ones are left.
 func (n *node) closeStaleConns(now float64) (connected bool) {
 	for _, c := range slices.Clone(n.conns) {
 		switch {
 		case c.conn == nil:
 		case c.isStale(now):
-			c.close(true)
+			c.close()
 		default:
 			connected = true
 		}
@@ -158,7 +178,7 @@
 func (n *node) closeIdleConnsBut(kept *nodeConn) {
 	for _, c := range slices.Clone(n.conns) {
 		if c != kept && c.conn != nil && c.isIdle() {
-			c.close(true)
+			c.close()
 		}
 	}
 }
--- a/internal/platform/node_conn.go
+++ b/internal/platform/node_conn.go
@@ -267,10 +267,10 @@
 }
 
 // close closes a connection on which no request is open.
-func (c *nodeConn) close(graceful bool) {
+func (c *nodeConn) close() {
 	c.remove()
 	if c.conn != nil {
-		c.conn.Close(graceful, nil)
+		c.conn.Close(true, nil)
 	}
 }
 
--- a/internal/platform/node_restart_test.go
+++ b/internal/platform/node_restart_test.go
@@ -243,3 +243,29 @@
 		t.Errorf("after the restart %d tasks of 8 cores served at a node for %d cores", got, cores)
 	}
 }
+
+// TestGoneNodeFallsSilent guards against tasks that end unseen at a node that is no longer listed: its machine vanishes, and its open connection is
+// silent. A node that is still alive keeps its tasks, although it sends nothing by itself.
+func TestGoneNodeFallsSilent(t *testing.T) {
+	for _, vanishes := range []bool{true, false} {
+		t.Run(fmt.Sprint("vanishes ", vanishes), func(t *testing.T) {
+			r := startRig(t, "a")
+			n, x := r.nodes["a"], r.dial()
+			x.request(7, "single")
+			r.advance(1000)
+			r.journal.publish(entryJSON("a", "a", "draining"))
+			r.advance(1000)
+			r.journal.publish(entryJSON("a", "a", "gone"))
+			r.advance(500)
+			want := []string{"7 served " + n.description(7)}
+			if vanishes {
+				n.vanish()
+				want = append(want, "7 end 41")
+			}
+			r.advance(8000)
+			x.want("8 s later", want...)
+			r.advance(30000)
+			x.want("in the end", want...)
+		})
+	}
+}
--- a/internal/platform/node_table.go
+++ b/internal/platform/node_table.go
@@ -105,7 +105,7 @@
 	case budget.Skip:
 		return false
 	case budget.Replace:
-		idle.candidate.close(true)
+		idle.candidate.close()
 	}
 	return true
 }
