platform: do not take a new node's connections for a dead one's at its address

The scheduler connects to the new process before the list tells that the old node is gone and that its address is another's.

Change: when the list gives the address of a node that is gone to one that has started, connections that may lead to the new process by the times at which they were made are closed. An old process that keeps a connection from before goes on to count as alive.

--- a/internal/decide/nodefailure/restart.go
+++ b/internal/decide/nodefailure/restart.go
@@ -36,6 +36,12 @@
 	return true
 }
 
+// MayLeadTo reports whether a connection to the address of the node, made or being made, may lead to the process that the list told of.
+func (p *ProcessStart) MayLeadTo(connection *Connection) bool {
+	isBeingMade := connection.EstablishedAt == 0
+	return p.startedAt > 0 && (isBeingMade || connection.EstablishedAt >= p.startedAt-clockTolerance)
+}
+
 // HasEnded reports whether a task ended together with an earlier process of its node.
 //
 // A connection that was made before the process started leads to an earlier process, whenever the answer on it was read. One that was dialed
--- a/internal/decide/nodefailure/restart_test.go
+++ b/internal/decide/nodefailure/restart_test.go
@@ -71,3 +71,17 @@
 		t.Error("a start time that lies a minute ahead: got no restart, or the end of a task that was handed over since")
 	}
 }
+
+// TestMayLeadTo checks which connections to an address may lead to the process that started there at 20000 ms.
+func TestMayLeadTo(t *testing.T) {
+	var start ProcessStart
+	if start.MayLeadTo(&Connection{DialedAt: 1, EstablishedAt: 2}) {
+		t.Error("a node that started long ago: got a connection that may lead to a later process")
+	}
+	start.OnListed(21000, 20000)
+	for established, want := range map[float64]bool{0: true, 19000: false, 19600: true, 20100: true, 25000: true} {
+		if got := start.MayLeadTo(&Connection{DialedAt: 18000, EstablishedAt: established}); got != want {
+			t.Errorf("established at %g ms: got %t, want %t", established, got, want)
+		}
+	}
+}
--- a/internal/platform/endpoint_watch.go
+++ b/internal/platform/endpoint_watch.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 
 	"github.com/rs/zerolog"
 
@@ -165,6 +167,9 @@
 		}
 	}
 	s.host.ListEnd()
+	for _, n := range slices.SortedFunc(maps.Keys(u.listed), byNumber) {
+		s.nodes.closeConnsTo(n)
+	}
 }
 
 // apply applies the state of a node. It returns the node, or nil if the node is unavailable and was not known before.
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -153,6 +153,15 @@
 	}
 }
 
+// closeConnsTo closes connections of this node that may lead to another node, which has its address now.
+func (n *node) closeConnsTo(owner *node) {
+	for _, c := range slices.Clone(n.conns) {
+		if len(c.requests) == 0 && owner.processStart.MayLeadTo(c.history) {
+			c.close()
+		}
+	}
+}
+
 // closeStaleConns closes stale connections and reports whether other established ones are left.
 func (n *node) closeStaleConns(now float64) (connected bool) {
 	for _, c := range slices.Clone(n.conns) {
--- a/internal/platform/node_restart_test.go
+++ b/internal/platform/node_restart_test.go
@@ -244,6 +244,24 @@
 	}
 }
 
+// TestAddressTakenByNewNode guards against a new node's accepting connections being taken for a sign of life of a node that died at the same address:
+// the scheduler has connected to the new one before the list tells of it.
+func TestAddressTakenByNewNode(t *testing.T) {
+	r := startRig(t, "a")
+	n, x := r.nodes["a"], r.dial()
+	x.request(7, "single")
+	r.advance(1000)
+	n.process.Kill(false)
+	r.advance(300)
+	newFakeNode(r, "b", "a")
+	startedAt := r.unixNow()
+	r.advance(1000)
+	started := strings.Replace(entryJSON("b", "a", "ready"), `"since_ms":0`, fmt.Sprintf(`"since_ms":%.0f`, startedAt), 1)
+	r.journal.publish(entryJSON("a", "a", "gone"), started)
+	r.advance(200)
+	x.want("after the list told of both nodes", "7 served "+n.description(7), "7 end 41")
+}
+
 // TestGoneNodeFallsSilent guards against tasks that end unseen at a node that is no longer listed: its machine vanishes, and its open connection is
 // silent. A node that is still alive keeps its tasks, although it sends nothing by itself.
 func TestGoneNodeFallsSilent(t *testing.T) {
--- a/internal/platform/node_table.go
+++ b/internal/platform/node_table.go
@@ -41,9 +41,12 @@
 
 // sorted returns the nodes in the order of their numbers.
 func (t *nodeTable) sorted() []*node {
-	return slices.SortedFunc(maps.Values(t.byID), func(x, y *node) int { return cmp.Compare(x.id, y.id) })
+	return slices.SortedFunc(maps.Values(t.byID), byNumber)
 }
 
+// byNumber orders nodes by their numbers.
+func byNumber(x, y *node) int { return cmp.Compare(x.id, y.id) }
+
 // add adds a node.
 func (t *nodeTable) add(name string) *node {
 	n := &node{server: t.server, id: t.number(name), name: name, running: map[*request]bool{}}
@@ -78,6 +81,24 @@
 	}
 }
 
+// closeConnsTo closes the connections of nodes that are no longer on the list that may lead to a node which has their address now: that it accepts
+// connections does not show that they are alive.
+func (t *nodeTable) closeConnsTo(owner *node) {
+	if owner.availability == logic.Unavailable || t.server.host.RunningTasks() == 0 {
+		return
+	}
+	var former []*node
+	for _, n := range t.byID {
+		if n != owner && n.address == owner.address && n.isUnavailable() && len(n.running) > 0 {
+			former = append(former, n)
+		}
+	}
+	slices.SortFunc(former, byNumber)
+	for _, n := range former {
+		n.closeConnsTo(owner)
+	}
+}
+
 // addConn counts a connection that is being made.
 func (t *nodeTable) addConn() { t.conns++ }
 
