--- a/internal/platform/endpoint_watch.go
+++ b/internal/platform/endpoint_watch.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"maps"
-	"slices"
 
 	"github.com/rs/zerolog"
 
@@ -128,6 +126,7 @@
 	accepted bool           // an event is being applied
 	snapshot bool           // the event names all nodes
 	listed   map[*node]bool // nodes that the event names
+	started  []*node        // those of them of which it tells a later start than before
 }
 
 // BeginEvent accepts the event that follows the last applied one.
@@ -151,9 +150,13 @@
 
 // AddEndpoint applies one endpoint of the event.
 func (u *listUpdate) AddEndpoint(endpoint codec.Endpoint) {
-	if n := u.watch.apply(u.now, endpoint); n != nil {
+	n, started := u.watch.apply(u.now, endpoint)
+	if n != nil {
 		u.listed[n] = true
 	}
+	if started {
+		u.started = append(u.started, n)
+	}
 }
 
 // end completes the event. Nodes that a snapshot does not name become unavailable.
@@ -167,18 +170,19 @@
 		}
 	}
 	s.host.ListEnd()
-	for _, n := range slices.SortedFunc(maps.Keys(u.listed), byNumber) {
+	for _, n := range u.started {
 		s.nodes.closeConnsTo(n)
 	}
 }
 
-// apply applies the state of a node. It returns the node, or nil if the node is unavailable and was not known before.
-func (w *endpointWatch) apply(now float64, endpoint codec.Endpoint) *node {
+// apply applies the state of a node. It returns the node, or nil if the node is unavailable and was not known before, and whether a later start of it
+// is told than before.
+func (w *endpointWatch) apply(now float64, endpoint codec.Endpoint) (n *node, started bool) {
 	s := w.server
-	n := s.nodes.named(endpoint.Name)
+	n = s.nodes.named(endpoint.Name)
 	if n == nil {
 		if endpoint.Availability == logic.Unavailable {
-			return nil
+			return nil, false
 		}
 		n = s.nodes.add(endpoint.Name)
 	}
@@ -190,7 +194,7 @@
 		e.Str("node", n.name).Str("address", endpoint.Address).Uint8("availability", uint8(endpoint.Availability)).Float64("since", endpoint.StartedAt)
 	})
 	n.setState(endpoint.Address, endpoint.Availability)
-	n.onListed(now, startedAt)
+	started = n.onListed(now, startedAt)
 	zone, okZone := s.names.zones[endpoint.Zone]
 	kind, okKind := s.names.kinds[endpoint.Kind]
 	if !okZone || !okKind {
@@ -201,5 +205,5 @@
 		Node: n.id, Availability: endpoint.Availability, StartedAt: startedAt, FreeCores: endpoint.FreeCores, FreeMemory: endpoint.FreeMemory,
 		Zone: zone, Cell: endpoint.Cell, Kind: kind,
 	})
-	return n
+	return n, started
 }
--- a/internal/platform/node_tasks.go
+++ b/internal/platform/node_tasks.go
@@ -70,12 +70,14 @@
 	return stops
 }
 
-// onListed records the start time that the node list gives. If it is that of a later process, the tasks of the earlier one have ended. This comes
-// before the module is told of the start: the module then takes the new process for empty.
-func (n *node) onListed(now, startedAt float64) {
-	if n.processStart.OnListed(now, startedAt) {
+// onListed records the start time that the node list gives, and reports whether it is that of a later process. If so, the tasks of the earlier one have
+// ended. This comes before the module is told of the start: the module then takes the new process for empty.
+func (n *node) onListed(now, startedAt float64) (restarted bool) {
+	restarted = n.processStart.OnListed(now, startedAt)
+	if restarted {
 		n.endTasksOfEarlierProcess(now)
 	}
+	return restarted
 }
 
 // endTasksOfEarlierProcess ends the tasks that ended with an earlier process of the node. It also stops them, in case one still runs.
