--- a/internal/platform/endpoint_watch.go
+++ b/internal/platform/endpoint_watch.go
@@ -194,6 +194,7 @@
 		e.Str("node", n.name).Str("address", endpoint.Address).Uint8("availability", uint8(endpoint.Availability)).Float64("since", endpoint.StartedAt)
 	})
 	n.setState(endpoint.Address, endpoint.Availability)
+	s.nodes.recordAddress(n)
 	started = n.onListed(now, startedAt)
 	zone, okZone := s.names.zones[endpoint.Zone]
 	kind, okKind := s.names.kinds[endpoint.Kind]
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -95,7 +95,7 @@
 func (n *node) closeConnsTo(owner *node) {
 	for _, c := range slices.Clone(n.conns) {
 		if len(c.requests) == 0 && owner.processStart.MayLeadTo(c.history) {
-			c.close()
+			c.close("its address belongs to another node")
 		}
 	}
 }
@@ -106,7 +106,7 @@
 		switch {
 		case c.conn == nil:
 		case c.isStale(now):
-			c.close()
+			c.close("stale")
 		default:
 			connected = true
 		}
@@ -125,7 +125,7 @@
 func (n *node) closeIdleConnsBut(kept *nodeConn) {
 	for _, c := range slices.Clone(n.conns) {
 		if c != kept && c.conn != nil && c.isIdle() {
-			c.close()
+			c.close("idle, and not needed")
 		}
 	}
 }
--- a/internal/platform/node_conn.go
+++ b/internal/platform/node_conn.go
@@ -92,7 +92,9 @@
 // descriptors or ports left says nothing about the node.
 func (c *nodeConn) onDialFailed(now float64, err error) {
 	s := c.server
-	s.telemetry.trace("dial failed", 0, func(e *zerolog.Event) { e.Str("node", c.node.name).Err(err) })
+	s.telemetry.trace("dial failed", 0, func(e *zerolog.Event) {
+		e.Str("node", c.node.name).Str("address", c.node.address).Float64("took", now-c.history.DialedAt).Err(err)
+	})
 	verdict := outcome.VerdictWithoutConnection()
 	if errors.Is(err, env.ErrExhausted) {
 		s.telemetry.count(countDialsExhausted)
@@ -116,7 +118,9 @@
 	}
 	c.conn = conn
 	c.idleSince, c.history.EstablishedAt = now, now
-	s.telemetry.trace("connected", 0, func(e *zerolog.Event) { e.Str("node", c.node.name).Int("links", len(c.node.conns)) })
+	s.telemetry.trace("connected", 0, func(e *zerolog.Event) {
+		e.Str("node", c.node.name).Str("address", c.node.address).Float64("took", now-c.history.DialedAt).Int("links", len(c.node.conns))
+	})
 	c.node.failureDetector.OnContact(now)
 	conn.Start(c, connlimits.WriteTimeout)
 	for _, r := range slices.Clone(c.requests) {
@@ -266,8 +270,11 @@
 	}
 }
 
-// close closes a connection on which no request is open.
-func (c *nodeConn) close() {
+// close closes a connection on which no request is open. The reason is for the trace.
+func (c *nodeConn) close(reason string) {
+	c.server.telemetry.trace("closing", 0, func(e *zerolog.Event) {
+		e.Str("node", c.node.name).Str("why", reason).Bool("established", c.conn != nil)
+	})
 	c.remove()
 	if c.conn != nil {
 		c.conn.Close(true, nil)
--- a/internal/platform/node_messages.go
+++ b/internal/platform/node_messages.go
@@ -172,6 +172,7 @@
 		e.Str("node", c.node.name).Uint8("cause", cause).Uint8("why", uint8(o.reason))
 	})
 	s.telemetry.countOutcome(end.Unstarted)
+	s.telemetry.logFailedAttempt(r, end.Unstarted)
 	if s.host.OnEarlyEnd(now, r.allocID, r.attempt, end, o.report) {
 		c.expectLateAnswer(r.task)
 	}
--- a/internal/platform/node_table.go
+++ b/internal/platform/node_table.go
@@ -16,12 +16,26 @@
 	server *Server
 	byName map[string]*node
 	byID   map[uint32]*node
-	conns  int       // the number of connections to nodes, established or being made
-	report []float64 // the last load report, whose memory is reused
+	latest map[string]*node // the node that the list named last at each address
+	conns  int              // the number of connections to nodes, established or being made
+	report []float64        // the last load report, whose memory is reused
 }
 
 func newNodeTable(s *Server) nodeTable {
-	return nodeTable{server: s, byName: map[string]*node{}, byID: map[uint32]*node{}}
+	return nodeTable{server: s, byName: map[string]*node{}, byID: map[uint32]*node{}, latest: map[string]*node{}}
+}
+
+// recordAddress records that the list names a node at its address, and logs if it names another one there that is not gone.
+func (t *nodeTable) recordAddress(n *node) {
+	former := t.latest[n.address]
+	if n.isUnavailable() || former == n {
+		return
+	}
+	t.latest[n.address] = n
+	if former != nil && former.address == n.address && !former.isUnavailable() {
+		t.server.log.Info().Str("mode", "list").Str("node", n.name).Str("address", n.address).Str("former", former.name).
+			Int("stood", len(former.running)).Int("links", len(former.conns)).Msg("two listed nodes have one address")
+	}
 }
 
 // named returns the node with a name, or nil.
@@ -70,6 +84,9 @@
 func (t *nodeTable) remove(n *node) {
 	delete(t.byID, n.id)
 	delete(t.byName, n.name)
+	if t.latest[n.address] == n {
+		delete(t.latest, n.address)
+	}
 }
 
 // removeUnavailable removes all nodes that are unavailable.
@@ -126,7 +143,7 @@
 	case budget.Skip:
 		return false
 	case budget.Replace:
-		idle.candidate.close()
+		idle.candidate.close("replaced by another")
 	}
 	return true
 }
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -194,6 +194,7 @@
 	s := t.server
 	s.telemetry.countOutcome(o.verdict)
 	s.telemetry.traceOutcome(r, o)
+	s.telemetry.logFailedAttempt(r, o.verdict)
 	s.host.OnOutcome(s.env.Now(), r.allocID, r.attempt, o.verdict, o.reason, o.report)
 	s.loop.wake()
 }
--- a/internal/platform/telemetry.go
+++ b/internal/platform/telemetry.go
@@ -60,6 +60,7 @@
 	maxDelay    float64          // the largest delay of the process since the last statistics line, in ms
 	lastStats   float64          // the time of the last statistics line
 	endsDropped bool             // it was logged that ends were dropped
+	attemptLog  attemptLogBudget
 }
 
 func newTelemetry(s *Server) telemetry {
