platform: decide which node is behind an address, and retry only where that is known

Cause: a node of the list was taken for its address. (B) The list names a new node at the address of one that it still shows as ready: both names were used, attempts under the old name reached the new node, whose zone is another, and each connection made there counted as a sign of life of the old one. (A) A dial that is pending when the machine vanishes is answered by the new process, before the list tells of anything, and the attempt was sent on it. Ruled out: a wrong verdict of an attempt (the traces show an error each time, counted as may have run), an unknown or changed zone (no such entry), a retry of the client (one id).

Change: decide/nodeidentity. One process listens at an address, so of several listed nodes the one that started last has it; the others count as gone, for the module too. A connection is known to lead to its node once the list has had time to tell of another and there was no sign that the process may have ended. A scoped keyed request gets no further attempt after one that may have run on a connection that is not known, and is repeated only on known ones. Why it works: it does not rely on which fault replaced the process, only on what a connection proves. Tasks that may run at the new node are stopped there when they are called over.

The cost: keyed requests whose first attempt fails within 3 s of a new connection are not repeated.

--- a/internal/decide/nodefailure/nodefailure.go
+++ b/internal/decide/nodefailure/nodefailure.go
@@ -29,6 +29,9 @@
 // OnContact records that a message arrived from the node, or that it accepted a connection.
 func (d *Detector) OnContact(now float64) { d.lastContactAt, d.failingSince, d.probing = now, 0, false }
 
+// LastContactAt returns when the last contact was, 0 if there was none.
+func (d *Detector) LastContactAt() float64 { return d.lastContactAt }
+
 // OnProbe records that a probe starts.
 func (d *Detector) OnProbe(now float64) { d.probing, d.lastProbeAt = true, now }
 
--- a/internal/decide/nodefailure/restart.go
+++ b/internal/decide/nodefailure/restart.go
@@ -1,8 +1,8 @@
 package nodefailure
 
-// clockTolerance is the time by which the clock that dates the starts of nodes and this process's clock may differ, ms. Schedulers rely on the
+// ClockTolerance is the time by which the clock that dates the starts of nodes and this process's clock may differ, ms. Schedulers rely on the
 // same bound when they take turns at a node in slow start.
-const clockTolerance = 500
+const ClockTolerance = 500
 
 // Connection is what is known of a connection to a node. A connection leads to one process of the node: when that process ends, the connection
 // is reset, or is silent for good if the machine has vanished.
@@ -39,7 +39,16 @@
 // MayLeadTo reports whether a connection to the address of the node, made or being made, may lead to the process that the list told of.
 func (p *ProcessStart) MayLeadTo(connection *Connection) bool {
 	isBeingMade := connection.EstablishedAt == 0
-	return p.startedAt > 0 && (isBeingMade || connection.EstablishedAt >= p.startedAt-clockTolerance)
+	return p.startedAt > 0 && (isBeingMade || connection.EstablishedAt >= p.startedAt-ClockTolerance)
+}
+
+// StartedAt returns the start time, 0 if it is unknown or long ago.
+func (p *ProcessStart) StartedAt() float64 { return p.startedAt }
+
+// IsOutlivedBy reports whether something was received, after the process started, on a connection that leads to an earlier one at the same address. If
+// the start time is unknown, the earlier one may live.
+func (p *ProcessStart) IsOutlivedBy(connection *Connection) bool {
+	return p.startedAt == 0 || connection.ReceivedAt > p.startedAt+ClockTolerance
 }
 
 // HasEnded reports whether a task ended together with an earlier process of its node.
@@ -49,7 +58,7 @@
 // connection decides: a task counts as ended if its connection broke and nothing was received on it since the list told of the start. A task that
 // a client handed over around the start or later may run in either process, and does not count as ended.
 func (p *ProcessStart) HasEnded(task Placement) bool {
-	earliest, latest := p.startedAt-clockTolerance, p.startedAt+clockTolerance
+	earliest, latest := p.startedAt-ClockTolerance, p.startedAt+ClockTolerance
 	connection := task.AnsweredOn
 	switch {
 	case p.startedAt == 0:
--- /dev/null
+++ b/internal/decide/nodeidentity/nodeidentity.go
@@ -0,0 +1,138 @@
+// Package nodeidentity decides which node of the node list is behind an address, and behind a connection to it. Messages name no node: whatever
+// process accepts a connection at an address answers what it is sent. A node that has ended may be replaced by another one at its address, before or
+// after the list tells of either. What is believed about a node, such as its zone, holds for an attempt only if the attempt reached that node.
+//
+// Addresses decides which of several listed nodes has an address. Identity decides whether a connection is known to lead to the process of the node
+// that it was made for.
+//
+// The inputs are the entries of the list, the events of connections and the time in ms; the package does no I/O and returns no errors. Its types are
+// not safe for concurrent use.
+package nodeidentity
+
+import (
+	"ravenpond/internal/decide/nodefailure"
+	"ravenpond/logic"
+)
+
+// Times in milliseconds.
+const (
+	// slowConnect is the time that a connection takes to come up if the first packet for it was lost or the machine did not answer: the process that
+	// accepts it may have started meanwhile.
+	slowConnect = 100
+	// listNoticeTime is the time after the start of a node by which the list tells of it.
+	listNoticeTime = 3000
+	// confirmationTime is longer than a list takes to notice a silent machine and is late together.
+	confirmationTime = 30000
+)
+
+// Identity tells whether connections to a node's address are known to lead to the node. They are not once there is a sign that its process may have
+// ended, until there is proof that it has not, or the list has had time to tell. The zero value stands for a node without such a sign.
+type Identity struct {
+	inDoubt   bool
+	displaced bool    // the list says that another node has the address
+	aliveAt   float64 // the last time at which the node's process is known to have lived before the sign
+	reachedAt float64 // when the first connection after the sign was made; 0: none since
+}
+
+// OnConnectFailed records that a connection was refused or did not come up. contactAt is when the node last answered or accepted another one, 0 if never.
+func (i *Identity) OnConnectFailed(c *nodefailure.Connection, contactAt float64) {
+	aliveAt := c.DialedAt
+	if contactAt > 0 {
+		aliveAt = min(aliveAt, contactAt)
+	}
+	i.doubt(aliveAt)
+	i.reachedAt = 0
+}
+
+// OnConnected records that a connection was made.
+func (i *Identity) OnConnected(c *nodefailure.Connection) {
+	if c.EstablishedAt-c.DialedAt >= slowConnect {
+		i.doubt(c.DialedAt)
+	}
+	if i.inDoubt && i.reachedAt == 0 {
+		i.reachedAt = c.EstablishedAt
+	}
+}
+
+// OnDisconnected records that a connection was closed or reset by the node. While others are open its process lives, as all end with the process.
+func (i *Identity) OnDisconnected(c *nodefailure.Connection, othersOpen bool) {
+	if !othersOpen {
+		i.doubt(lastSign(c))
+	}
+}
+
+// OnUnanswered records that the node did not answer on a connection in time.
+func (i *Identity) OnUnanswered(c *nodefailure.Connection) { i.doubt(lastSign(c)) }
+
+// lastSign returns when a connection last showed that its process lives.
+func lastSign(c *nodefailure.Connection) float64 { return max(c.EstablishedAt, c.ReceivedAt) }
+
+// doubt records a sign that the process may have ended after a time.
+func (i *Identity) doubt(aliveAt float64) {
+	if !i.inDoubt {
+		i.inDoubt, i.aliveAt = true, aliveAt
+		return
+	}
+	i.aliveAt = min(i.aliveAt, aliveAt)
+}
+
+// clear records that the process has not ended. That another node has its address stays true.
+func (i *Identity) clear() {
+	if !i.displaced {
+		*i = Identity{}
+	}
+}
+
+// OnDisplaced records that the list names another node at the address, whose process started at a time; 0: unknown. Connections that were made before
+// lead to this node.
+func (i *Identity) OnDisplaced(now, startedAt float64) {
+	aliveAt := now
+	if startedAt > 0 {
+		aliveAt = startedAt - nodefailure.ClockTolerance
+	}
+	i.doubt(aliveAt)
+	i.displaced = true
+}
+
+// OnReceived records that something was received on a connection. On one that was made before the sign it proves that the process has not ended.
+func (i *Identity) OnReceived(c *nodefailure.Connection) {
+	if i.inDoubt && c.EstablishedAt <= i.aliveAt {
+		i.clear()
+	}
+}
+
+// OnTaskReported records a message about a task that started at the node at a time. If that was before the sign, the process has not ended.
+func (i *Identity) OnTaskReported(startedAt float64) {
+	if i.inDoubt && startedAt <= i.aliveAt {
+		i.clear()
+	}
+}
+
+// OnStartListed records that the list has told of a later start of the node, or of another address: the process there is known again.
+func (i *Identity) OnStartListed() { *i = Identity{} }
+
+// OnAddressOwned records that the list gives the node its address, as the only one there. Which process answers is still as uncertain as before.
+func (i *Identity) OnAddressOwned() { i.displaced = false }
+
+// Knows reports whether a connection is known to lead to the node. toldUpTo is the time up to which the list is current: what the list can't have told yet
+// may have happened before the connection was made.
+func (i *Identity) Knows(now, toldUpTo float64, c *nodefailure.Connection) bool {
+	switch {
+	case c.EstablishedAt == 0 || c.EstablishedAt+listNoticeTime > toldUpTo:
+		return false
+	case !i.inDoubt || c.EstablishedAt <= i.aliveAt:
+		return true
+	}
+	return !i.displaced && i.reachedAt > 0 && now-i.reachedAt >= confirmationTime
+}
+
+// IsFromBefore reports whether a connection was made before any sign that the node's process may have ended.
+func (i *Identity) IsFromBefore(c *nodefailure.Connection) bool {
+	return !i.inDoubt || c.EstablishedAt <= i.aliveAt
+}
+
+// MaySend reports whether an attempt of a request may be sent on a connection. Once an attempt of a request may have run whose repeats are recognised
+// by some nodes only, the connection must be known to lead to its node.
+func MaySend(class *logic.JobClass, mayHaveRun, known bool) bool {
+	return known || !mayHaveRun || !class.IsScoped()
+}
--- /dev/null
+++ b/internal/decide/nodeidentity/nodeidentity_test.go
@@ -0,0 +1,143 @@
+package nodeidentity
+
+import (
+	"testing"
+
+	"ravenpond/internal/decide/nodefailure"
+	"ravenpond/logic"
+)
+
+func connection(dialed, established, received float64) *nodefailure.Connection {
+	return &nodefailure.Connection{DialedAt: dialed, EstablishedAt: established, ReceivedAt: received}
+}
+
+// TestIdentity checks after which events a connection that was made at 20000 ms, unless the case says otherwise, is known to lead to its node at 25000 ms.
+func TestIdentity(t *testing.T) {
+	early, late := connection(1000, 1001, 9000), connection(19999, 20000, 0)
+	slow := connection(18900, 20000, 0)
+	for _, c := range []struct {
+		name   string
+		events func(i *Identity)
+		conn   *nodefailure.Connection
+		want   bool
+	}{
+		{"no sign", func(*Identity) {}, late, true},
+		{"no sign, so new that the list may tell of another node yet", func(*Identity) {}, connection(23999, 24000, 0), false},
+		{"being made", func(*Identity) {}, connection(19999, 0, 0), false},
+		{"a dial was refused before", func(i *Identity) { i.OnConnectFailed(connection(19000, 0, 0), 9000); i.OnConnected(late) }, late, false},
+		{"a dial was refused, on a connection from before", func(i *Identity) { i.OnConnectFailed(connection(19000, 0, 0), 9000) }, early, true},
+		{"the connection was slow", func(i *Identity) { i.OnConnected(slow) }, slow, false},
+		{"the connection was fast", func(i *Identity) { i.OnConnected(late) }, late, true},
+		{"the only connection was reset", func(i *Identity) { i.OnDisconnected(early, false); i.OnConnected(late) }, late, false},
+		{"one of several was reset", func(i *Identity) { i.OnDisconnected(early, true); i.OnConnected(late) }, late, true},
+		{"a health check was not answered", func(i *Identity) { i.OnUnanswered(early); i.OnConnected(late) }, late, false},
+		{"an earlier connection lives", func(i *Identity) { i.OnConnectFailed(connection(19000, 0, 0), 0); i.OnReceived(early) }, late, true},
+		{"only the new connection lives", func(i *Identity) { i.OnConnectFailed(connection(19000, 0, 0), 0); i.OnReceived(late) }, late, false},
+		{"a task from before is reported", func(i *Identity) { i.OnDisconnected(early, false); i.OnTaskReported(8000) }, late, true},
+		{"a task from after is reported", func(i *Identity) { i.OnDisconnected(early, false); i.OnTaskReported(20500) }, late, false},
+		{"the list tells of a later start", func(i *Identity) { i.OnConnectFailed(connection(19000, 0, 0), 0); i.OnStartListed() }, late, true},
+		{"another node has the address", func(i *Identity) { i.OnDisplaced(24000, 19000) }, late, false},
+		{"another node has the address, on a connection from before", func(i *Identity) { i.OnDisplaced(24000, 19000) }, early, true},
+		{"another node has the address, and an earlier connection lives", func(i *Identity) { i.OnDisplaced(24000, 19000); i.OnReceived(early) }, late, false},
+	} {
+		var i Identity
+		c.events(&i)
+		if got := i.Knows(25000, 25000, c.conn); got != c.want {
+			t.Errorf("%s: got known %t, want %t", c.name, got, c.want)
+		}
+	}
+}
+
+// TestListIsNotCurrent checks that a connection is not known to lead to its node while the list can't tell of another one there.
+func TestListIsNotCurrent(t *testing.T) {
+	var i Identity
+	if i.Knows(60000, 22999, connection(19999, 20000, 0)) || !i.Knows(60000, 23000, connection(19999, 20000, 0)) {
+		t.Error("got a connection known to lead to its node before the list can have told, or not known after")
+	}
+}
+
+// TestIdentityIsConfirmed checks that connections are known again once the node was reached for long enough without another sign.
+func TestIdentityIsConfirmed(t *testing.T) {
+	var i Identity
+	conn := connection(1999, 2000, 0)
+	knows := func(now float64) bool { return i.Knows(now, now, conn) }
+	i.OnConnectFailed(connection(1000, 0, 0), 0)
+	if knows(1000 + 10*confirmationTime) {
+		t.Error("a node that was not reached since: got known")
+	}
+	i.OnConnected(conn)
+	if knows(2000+confirmationTime-1) || !knows(2000+confirmationTime) {
+		t.Error("got a node that is not known again after the confirmation time, or is before")
+	}
+	i.OnConnectFailed(connection(3000, 0, 0), 2000)
+	if knows(2000 + confirmationTime) {
+		t.Error("another dial failed since: got known")
+	}
+}
+
+// TestMaySend checks which attempts need a connection that is known to lead to its node.
+func TestMaySend(t *testing.T) {
+	inZone := &logic.JobClass{Semantics: logic.Idempotent, IdempotencyScope: logic.ScopeZone}
+	for _, c := range []struct {
+		name              string
+		class             *logic.JobClass
+		mayHaveRun, known bool
+		want              bool
+	}{
+		{"a first attempt", inZone, false, false, true},
+		{"a retry to a known node", inZone, true, true, true},
+		{"a retry to an unknown node", inZone, true, false, false},
+		{"repeats are recognised everywhere", &logic.JobClass{Semantics: logic.Idempotent}, true, false, true},
+		{"restartable", &logic.JobClass{}, true, false, true},
+	} {
+		if got := MaySend(c.class, c.mayHaveRun, c.known); got != c.want {
+			t.Errorf("%s: got %t, want %t", c.name, got, c.want)
+		}
+	}
+}
+
+// TestAddresses checks which of several listed nodes has an address.
+func TestAddresses(t *testing.T) {
+	const address = "10.0.0.1:5060"
+	a := NewAddresses()
+	for _, c := range []struct {
+		name      string
+		node      uint32
+		startedAt float64
+		want      Claimed
+	}{
+		{"first", 1, 0, Claimed{Owns: true}},
+		{"the same again", 1, 0, Claimed{Owns: true}},
+		{"a new node", 2, 5000, Claimed{Owns: true, Displaced: true, Former: 1}},
+		{"the former one repeated", 1, 0, Claimed{}},
+		{"an earlier one told late", 3, 4000, Claimed{}},
+		{"the former one started again", 1, 9000, Claimed{Owns: true, Displaced: true, Former: 2}},
+		{"one that started at the same time, listed later", 4, 9000, Claimed{Owns: true, Displaced: true, Former: 1}},
+		{"the one before repeated", 1, 9000, Claimed{}},
+	} {
+		if got := a.Claim(address, c.node, c.startedAt); got != c.want {
+			t.Errorf("%s: got %+v, want %+v", c.name, got, c.want)
+		}
+	}
+	a.Release(address, 1)
+	if got := a.Claim(address, 1, 9000); got.Owns {
+		t.Error("the release of a former owner: got the address free")
+	}
+	a.Release(address, 4)
+	if got := a.Claim(address, 1, 9000); got != (Claimed{Owns: true}) || a.Len() != 1 {
+		t.Errorf("after the release: got %+v, want the address owned", got)
+	}
+}
+
+// TestFormerOwnersAreBounded checks that an address that many nodes take in turn is remembered for a limited number of them.
+func TestFormerOwnersAreBounded(t *testing.T) {
+	a := NewAddresses()
+	for node := range uint32(1000) {
+		if !a.Claim("x", node, 0).Owns {
+			t.Fatalf("node %d does not own the address", node)
+		}
+	}
+	if got := len(a.owners["x"].former); got != maxFormer {
+		t.Errorf("got %d former owners, want %d", got, maxFormer)
+	}
+}
--- a/internal/decide/outcome/outcome.go
+++ b/internal/decide/outcome/outcome.go
@@ -70,6 +70,16 @@
 	return semantics == logic.Restartable || attempts == 0
 }
 
+// MayHaveRunAfter reports whether a task whose attempt had this outcome, and that did not count as running, may have run all the same.
+func MayHaveRunAfter(verdict logic.Outcome) bool {
+	switch verdict {
+	case logic.Rejected, logic.Unreachable, logic.NotSent:
+		return false
+	case logic.Completed, logic.Errored, logic.TimedOut, logic.ConnectionLost, logic.Cancelled:
+	}
+	return true
+}
+
 // VerdictAfterDisconnect returns the outcome of an attempt whose connection ended, for a node that cannot be asked what became of it. The
 // attempt provably never ran only if part of it was not handed to the kernel.
 func VerdictAfterDisconnect(handedOver bool) logic.Outcome {
--- a/internal/decide/watchretry/watchretry.go
+++ b/internal/decide/watchretry/watchretry.go
@@ -75,6 +75,9 @@
 	return r.connected && r.gotEvent && now-r.lastEventAt <= silenceTimeout
 }
 
+// LastEventAt returns when the last event arrived on any connection, 0 if none did.
+func (r *Retrier) LastEventAt() float64 { return r.lastEventAt }
+
 // IsFailing reports whether requests for events have to be answered with a failure.
 func (r *Retrier) IsFailing(now float64) bool {
 	return !r.IsLive(now) && now-r.lastEventAt > failureTimeout
--- a/internal/platform/attempt_log.go
+++ b/internal/platform/attempt_log.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"ravenpond/internal/decide/outcome"
 	"ravenpond/logic"
 )
 
@@ -33,19 +34,9 @@
 	return omitted, true
 }
 
-// mayHaveRun reports whether a task whose attempt had this outcome may have run all the same.
-func mayHaveRun(verdict logic.Outcome) bool {
-	switch verdict {
-	case logic.Errored, logic.TimedOut, logic.ConnectionLost, logic.Cancelled:
-		return true
-	case logic.Completed, logic.Rejected, logic.Unreachable, logic.NotSent:
-	}
-	return false
-}
-
 // logFailedAttempt logs an attempt that failed and may have run: its number and its node are what clients and nodes have on record too.
 func (t *telemetry) logFailedAttempt(r *request, verdict logic.Outcome) {
-	if r.running || r.node == nil || !mayHaveRun(verdict) {
+	if r.running || r.node == nil || !outcome.MayHaveRunAfter(verdict) {
 		return
 	}
 	now := t.server.env.Now()
--- a/internal/platform/endpoint_watch.go
+++ b/internal/platform/endpoint_watch.go
@@ -77,6 +77,17 @@
 	}
 }
 
+// isCurrent reports whether events arrive as expected, so that the list tells of each change in time.
+func (w *endpointWatch) isCurrent(now float64) bool { return w.retrier.IsLive(now) }
+
+// currentUpTo returns the time up to which the list is current.
+func (w *endpointWatch) currentUpTo(now float64) float64 {
+	if w.isCurrent(now) {
+		return now
+	}
+	return w.retrier.LastEventAt()
+}
+
 // answerPoll tells the module that there are no changes, or that the list can't be read.
 func (w *endpointWatch) answerPoll(now float64, kind logic.ListKind) {
 	w.pollRequested = false
@@ -126,7 +137,14 @@
 	accepted bool           // an event is being applied
 	snapshot bool           // the event names all nodes
 	listed   map[*node]bool // nodes that the event names
-	started  []*node        // those of them of which it tells a later start than before
+	changes  []endpointChange
+}
+
+// endpointChange is what an entry of the list changes beside the state of its node.
+type endpointChange struct {
+	node      *node // nil: the node is unavailable and was not known before
+	restarted bool  // a later start is told than before
+	displaced *node // the node that was listed at the address until now, nil if there was none
 }
 
 // BeginEvent accepts the event that follows the last applied one.
@@ -150,12 +168,12 @@
 
 // AddEndpoint applies one endpoint of the event.
 func (u *listUpdate) AddEndpoint(endpoint codec.Endpoint) {
-	n, started := u.watch.apply(u.now, endpoint)
-	if n != nil {
-		u.listed[n] = true
+	change := u.watch.apply(u.now, endpoint)
+	if change.node != nil {
+		u.listed[change.node] = true
 	}
-	if started {
-		u.started = append(u.started, n)
+	if change.restarted || change.displaced != nil {
+		u.changes = append(u.changes, change)
 	}
 }
 
@@ -165,27 +183,30 @@
 	if u.snapshot {
 		for _, n := range s.nodes.sorted() {
 			if !u.listed[n] {
-				n.setState("", logic.Unavailable)
+				s.nodes.owners.Release(n.address, n.id)
+				n.setAvailability(logic.Unavailable)
 			}
 		}
 	}
 	s.host.ListEnd()
-	for _, n := range u.started {
-		s.nodes.closeConnsTo(n)
+	for _, change := range u.changes {
+		for _, n := range s.nodes.nodesBeside(change.node) {
+			n.displace(u.now, change.node, n == change.displaced)
+		}
 	}
 }
 
-// apply applies the state of a node. It returns the node, or nil if the node is unavailable and was not known before, and whether a later start of it
-// is told than before.
-func (w *endpointWatch) apply(now float64, endpoint codec.Endpoint) (n *node, started bool) {
+// apply applies the state of a node. Where another node has its address, the node is taken for unavailable, whatever its entry says.
+func (w *endpointWatch) apply(now float64, endpoint codec.Endpoint) (change endpointChange) {
 	s := w.server
-	n = s.nodes.named(endpoint.Name)
+	n := s.nodes.named(endpoint.Name)
 	if n == nil {
 		if endpoint.Availability == logic.Unavailable {
-			return nil, false
+			return endpointChange{}
 		}
 		n = s.nodes.add(endpoint.Name)
 	}
+	change.node = n
 	startedAt := endpoint.StartedAt
 	if startedAt > 0 {
 		startedAt -= epochUnixMs
@@ -193,18 +214,42 @@
 	s.telemetry.trace("listed", 0, func(e *zerolog.Event) {
 		e.Str("node", n.name).Str("address", endpoint.Address).Uint8("availability", uint8(endpoint.Availability)).Float64("since", endpoint.StartedAt)
 	})
-	n.setState(endpoint.Address, endpoint.Availability)
-	s.nodes.recordAddress(n)
-	started = n.onListed(now, startedAt)
+	if endpoint.Address != "" && endpoint.Address != n.address {
+		s.nodes.setAddress(n, endpoint.Address)
+		n.identity.OnStartListed()
+	}
+	availability := endpoint.Availability
+	if availability == logic.Unavailable {
+		s.nodes.owners.Release(n.address, n.id)
+	} else {
+		availability, change.displaced = s.nodes.claimAddress(n, availability, startedAt)
+	}
+	n.setAvailability(availability)
+	change.restarted = n.onListed(now, startedAt)
 	zone, okZone := s.names.zones[endpoint.Zone]
 	kind, okKind := s.names.kinds[endpoint.Kind]
 	if !okZone || !okKind {
 		s.log.Warn().Str("mode", "list").Str("node", n.name).Str("zone", endpoint.Zone).Str("kind", endpoint.Kind).
 			Msg("node list entry names an unknown zone or kind")
 	}
-	s.host.ListNode(logic.ListEntry{
-		Node: n.id, Availability: endpoint.Availability, StartedAt: startedAt, FreeCores: endpoint.FreeCores, FreeMemory: endpoint.FreeMemory,
+	n.entry = logic.ListEntry{
+		Node: n.id, Availability: availability, StartedAt: startedAt, FreeCores: endpoint.FreeCores, FreeMemory: endpoint.FreeMemory,
 		Zone: zone, Cell: endpoint.Cell, Kind: kind,
-	})
-	return n, started
+	}
+	s.host.ListNode(n.entry)
+	if change.displaced != nil {
+		w.withdrawEntry(change.displaced, n)
+	}
+	return change
+}
+
+// withdrawEntry tells the module that a listed node is unavailable, as the list names another one at its address: one process listens there.
+func (w *endpointWatch) withdrawEntry(displaced, owner *node) {
+	s := w.server
+	s.telemetry.count(countDisplaced)
+	s.log.Info().Str("mode", "list").Str("node", owner.name).Str("address", owner.address).Str("former", displaced.name).
+		Int("stood", len(displaced.running)).Int("links", len(displaced.conns)).Msg("another node has the address of a listed one, which counts as gone")
+	displaced.setAvailability(logic.Unavailable)
+	displaced.entry.Availability = logic.Unavailable
+	s.host.ListNode(displaced.entry)
 }
--- a/internal/platform/host/allocations.go
+++ b/internal/platform/host/allocations.go
@@ -20,6 +20,7 @@
 	migrating               bool // the client was told to request the task again
 	answered                bool // the request has received its final answer, or needs none
 	suppressEndNotification bool // the client is not notified of the end of the task
+	mayHaveRun              bool // an attempt that has ended may have run
 	metricReceived          bool // the node has sent a measurement for the last attempt
 	outcomePending          bool // a timer is set that delivers the outcome of the last attempt
 }
--- a/internal/platform/host/attempts.go
+++ b/internal/platform/host/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"ravenpond/internal/decide/nodeidentity"
 	"ravenpond/internal/decide/outcome"
 	"ravenpond/logic"
 )
@@ -78,6 +79,13 @@
 	}
 }
 
+// MaySend reports whether the attempt in flight of an allocation may be sent on a connection. known says that the connection is known to lead to the
+// node of the attempt.
+func (h *Host) MaySend(id uint32, known bool) bool {
+	a := h.allocations[id]
+	return a != nil && nodeidentity.MaySend(&h.supervisor.cluster.JobClasses[a.request.Class], a.mayHaveRun, known)
+}
+
 // OnEarlyEnd handles the end of an attempt that a node reports before it has answered the attempt. If the task had been running, the request
 // gets its final answer at once and no further attempt; otherwise the outcome is that of an attempt that never started. OnEarlyEnd returns
 // whether the task had been running; if so, the node's answer may still arrive.
@@ -133,12 +141,14 @@
 			h.effects.NotifyEnd(a.id(), verdict)
 		}
 	}
+	a.mayHaveRun = a.mayHaveRun || outcome.MayHaveRunAfter(verdict)
+	uncertain := !a.running && h.effects.MayHaveReachedOtherNode(a.id())
 	a.inFlight, a.running, a.outcomePending = false, false, false
 	h.recordEstimateError(a.node, report)
 	h.callModule(func(m *logic.Scheduler) {
 		m.OnOutcome(h.now, logic.AttemptResult{
-			Allocation: a.id(), Node: a.node, Attempt: a.moduleAttempt(), Duration: h.now - a.sentAt, Answered: a.answered, Reason: reason,
-			Outcome: verdict, Report: report,
+			Allocation: a.id(), Node: a.node, Attempt: a.moduleAttempt(), Duration: h.now - a.sentAt, NodeUncertain: uncertain,
+			Answered: a.answered, Reason: reason, Outcome: verdict, Report: report,
 		})
 	})
 	h.forgetIfDone(a)
--- a/internal/platform/host/host.go
+++ b/internal/platform/host/host.go
@@ -27,6 +27,8 @@
 	RequestPlacement(alloc uint32, attempt uint8, node uint32, timeout float64)
 	// CancelAttempt cancels an attempt in flight. Its result is no longer awaited.
 	CancelAttempt(alloc uint32, attempt uint8, node uint32)
+	// MayHaveReachedOtherNode returns whether the last attempt may have reached another node than the one that it was sent to.
+	MayHaveReachedOtherNode(alloc uint32) bool
 	// StopTask asks a node to stop a running task.
 	StopTask(alloc, node uint32)
 	// AnswerRequest sends the final answer to a request whose task does not run: shed if a retry is safe, else failed.
--- a/internal/platform/host/host_test.go
+++ b/internal/platform/host/host_test.go
@@ -34,6 +34,7 @@
 func (s *harness) CancelAttempt(id uint32, attempt uint8, _ uint32) {
 	s.record("cancel %d.%d", id, attempt)
 }
+func (s *harness) MayHaveReachedOtherNode(uint32) bool  { return false }
 func (s *harness) StopTask(id, _ uint32)                { s.record("stop %d", id) }
 func (s *harness) NotifyMigration(id uint32)            { s.record("migrate %d", id) }
 func (s *harness) NotifyEnd(id uint32, v logic.Outcome) { s.record("end %d %d", id, v) }
--- a/internal/platform/host/node_list.go
+++ b/internal/platform/host/node_list.go
@@ -21,7 +21,8 @@
 // listedNode is a node of the list.
 type listedNode struct {
 	logic.ListEntry
-	observedStartAt float64 // when the node appeared, returned or restarted while this process ran; 0 if it did not
+	identityUncertain bool    // what is sent to the node may reach another one
+	observedStartAt   float64 // when the node appeared, returned or restarted while this process ran; 0 if it did not
 }
 
 // ListBegin begins a message of the node list. ListNode is called for each entry after it, then ListEnd.
@@ -44,6 +45,16 @@
 	h.callModule(func(m *logic.Scheduler) { m.OnListEnd(h.now) })
 }
 
+// OnNodeIdentity records whether what is sent to a node is known to reach it.
+func (h *Host) OnNodeIdentity(now float64, node uint32, known bool) {
+	h.recordEvent(now)
+	if n, listed := h.supervisor.list.nodes[node]; listed {
+		n.identityUncertain = !known
+		h.supervisor.list.nodes[node] = n
+	}
+	h.callModule(func(m *logic.Scheduler) { m.SetNodeIdentity(h.now, node, known) })
+}
+
 // pruneUnavailableNodes drops the unavailable nodes without an attempt in flight or a running task once there are more than
 // maxUnavailableNodes unavailable nodes.
 func (h *Host) pruneUnavailableNodes() {
@@ -67,7 +78,7 @@
 // need a slow start.
 func (l *nodeList) add(now float64, entry logic.ListEntry) {
 	previous, known := l.nodes[entry.Node]
-	n := listedNode{entry, previous.observedStartAt}
+	n := listedNode{entry, previous.identityUncertain, previous.observedStartAt}
 	returned := previous.Availability == logic.Unavailable && entry.Availability != logic.Unavailable
 	restarted := entry.StartedAt > previous.StartedAt
 	if !known && l.kind != logic.ListCached || known && (returned || restarted) {
@@ -105,6 +116,7 @@
 			entry := n.ListEntry
 			entry.StartedAt = max(n.StartedAt, n.observedStartAt)
 			m.OnListNode(now, entry)
+			m.SetNodeIdentity(now, id, !n.identityUncertain)
 		}
 		m.OnListEnd(now)
 	}
--- a/internal/platform/host_effects.go
+++ b/internal/platform/host_effects.go
@@ -14,7 +14,7 @@
 func (e hostEffects) RequestPlacement(alloc uint32, attempt uint8, node uint32, timeout float64) {
 	s := e.server
 	r, n := s.requests.allocation(alloc), s.nodes.byNumber(node)
-	r.node, r.attempt, r.attemptDeadline = n, attempt, s.env.Now()+timeout
+	r.node, r.attempt, r.attemptDeadline, r.sentOn = n, attempt, s.env.Now()+timeout, nil
 	if r.clientGone() {
 		s.requests.withdrawLater(r)
 		return
@@ -37,6 +37,12 @@
 	}
 }
 
+// MayHaveReachedOtherNode returns whether the last attempt of a request may have reached another node than the one that it was sent to.
+func (e hostEffects) MayHaveReachedOtherNode(alloc uint32) bool {
+	r := e.server.requests.allocation(alloc)
+	return r != nil && r.node != nil && r.sentOn != nil && !r.node.knows(e.server.env.Now(), r.sentOn)
+}
+
 // StopTask stops a running task at its node.
 func (e hostEffects) StopTask(alloc, _ uint32) {
 	if r := e.server.requests.allocation(alloc); r != nil && r.node != nil {
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -6,6 +6,7 @@
 
 	"ravenpond/internal/decide/budget"
 	"ravenpond/internal/decide/nodefailure"
+	"ravenpond/internal/decide/nodeidentity"
 	"ravenpond/logic"
 )
 
@@ -20,16 +21,16 @@
 	pendingStops    []pendingStop // oldest first
 	failureDetector nodefailure.Detector
 	processStart    nodefailure.ProcessStart
+	identity        nodeidentity.Identity
+	identityKnown   bool            // as last reported to the host
+	entry           logic.ListEntry // as last reported to the host
 }
 
 // isUnavailable reports whether the node list says that the node is unavailable.
 func (n *node) isUnavailable() bool { return n.availability == logic.Unavailable }
 
-// setState sets the address and the availability that the node list gives. An empty address leaves the address unchanged.
-func (n *node) setState(address string, availability logic.Availability) {
-	if address != "" {
-		n.address = address
-	}
+// setAvailability sets the availability that the node list gives.
+func (n *node) setAvailability(availability logic.Availability) {
 	n.availability = availability
 	if n.isUnavailable() {
 		n.closeIdleConns()
@@ -56,6 +57,7 @@
 
 // tick closes stale connections, checks the node if tasks run there, and removes it once it is unavailable and has no connection and no task.
 func (n *node) tick(now float64) {
+	n.reportIdentity(now)
 	connected := n.closeStaleConns(now)
 	if len(n.running) > 0 {
 		if n.isUnavailable() {
@@ -80,9 +82,13 @@
 // checkConns sends health checks on the connections to a silent node that is no longer on the node list. It is not dialed, as its address may have
 // gone to another node. A connection without an answer is closed as stale.
 func (n *node) checkConns(now float64) {
-	if !n.failureDetector.IsProbeDue(now, true) {
-		return
+	if n.failureDetector.IsProbeDue(now, true) {
+		n.checkConnsNow(now)
 	}
+}
+
+// checkConnsNow sends health checks on all connections.
+func (n *node) checkConnsNow(now float64) {
 	for _, c := range n.conns {
 		if c.canProbe(now) {
 			n.failureDetector.OnProbe(now)
@@ -91,13 +97,9 @@
 	}
 }
 
-// closeConnsTo closes connections of this node that may lead to another node, which has its address now.
-func (n *node) closeConnsTo(owner *node) {
-	for _, c := range slices.Clone(n.conns) {
-		if len(c.requests) == 0 && owner.processStart.MayLeadTo(c.history) {
-			c.close("its address belongs to another node")
-		}
-	}
+// hasOpenConnBeside reports whether a connection other than c is established and was not closed by the node.
+func (n *node) hasOpenConnBeside(c *nodeConn) bool {
+	return slices.ContainsFunc(n.conns, func(other *nodeConn) bool { return other != c && other.conn != nil && other.isOpen() })
 }
 
 // closeStaleConns closes stale connections and reports whether other established ones are left.
@@ -106,6 +108,10 @@
 		switch {
 		case c.conn == nil:
 		case c.isStale(now):
+			if c.isUnanswered(now) {
+				n.identity.OnUnanswered(c.history)
+				n.reportIdentity(now)
+			}
 			c.close("stale")
 		default:
 			connected = true
@@ -130,9 +136,14 @@
 	}
 }
 
-// sendAttempt sends the attempt of a request on a connection to the node. If there can be none, the attempt ends as not sent.
+// sendAttempt sends the attempt of a request on a connection to the node, one that is known to lead to it if the request requires that. If there can be
+// none, the attempt ends as not sent.
 func (n *node) sendAttempt(r *request) {
-	c := n.connFor(n.server.env.Now())
+	now := n.server.env.Now()
+	c := n.knownConn(now)
+	if n.server.host.MaySend(r.allocID, false) {
+		c = n.connFor(now)
+	}
 	if c == nil {
 		n.server.requests.completeUnsentLater(r)
 		return
--- a/internal/platform/node_conn.go
+++ b/internal/platform/node_conn.go
@@ -64,6 +64,11 @@
 	case c.isIdle():
 		return !c.isFresh(now)
 	}
+	return c.isUnanswered(now)
+}
+
+// isUnanswered reports whether a health check on the connection was not answered in time.
+func (c *nodeConn) isUnanswered(now float64) bool {
 	return c.probeSeq != 0 && connlimits.IsUnresponsive(now-c.probeSentAt)
 }
 
@@ -103,6 +108,8 @@
 	} else {
 		s.telemetry.count(countDialsFailed)
 		c.node.failureDetector.OnProbeFailed(now, errors.Is(err, env.ErrRefused))
+		c.node.identity.OnConnectFailed(c.history, c.node.failureDetector.LastContactAt())
+		c.node.reportIdentity(now)
 	}
 	c.remove()
 	c.completeAll(func(*request) logic.Outcome { return verdict }, logic.Unreachable)
@@ -122,6 +129,8 @@
 		e.Str("node", c.node.name).Str("address", c.node.address).Float64("took", now-c.history.DialedAt).Int("links", len(c.node.conns))
 	})
 	c.node.failureDetector.OnContact(now)
+	c.node.identity.OnConnected(c.history)
+	c.node.reportIdentity(now)
 	conn.Start(c, connlimits.WriteTimeout)
 	for _, r := range slices.Clone(c.requests) {
 		if now >= r.attemptDeadline {
@@ -129,6 +138,11 @@
 			s.requests.complete(r, attemptOutcome{verdict: logic.NotSent})
 			continue
 		}
+		if !s.host.MaySend(r.allocID, c.isKnown(now)) {
+			c.removeRequest(r)
+			s.requests.complete(r, attemptOutcome{verdict: outcome.VerdictWithoutConnection()})
+			continue
+		}
 		c.sendSetUp(r)
 	}
 	if c.probeSeq != 0 {
@@ -170,7 +184,7 @@
 		r.attemptBytes = len(b) - before
 		return b
 	})
-	r.sentThrough = sent
+	r.sentThrough, r.sentOn = sent, c.history
 	if !ok {
 		r.sentThrough = neverSent // OnClose follows
 	}
@@ -236,8 +250,11 @@
 		e.Str("node", c.node.name).Str("why", cause).Int("open", len(c.requests)).Bool("spent", c.draining)
 	})
 	c.history.Broken = true
+	c.node.identity.OnDisconnected(c.history, c.node.hasOpenConnBeside(c))
 	c.fail(func(r *request) logic.Outcome { return outcome.VerdictAfterDisconnect(r.sentThrough <= handedOver) })
-	c.node.endTasksOfEarlierProcess(c.server.env.Now())
+	now := c.server.env.Now()
+	c.node.reportIdentity(now)
+	c.node.endTasksOfEarlierProcess(now)
 }
 
 // onMalformed closes a connection on which a malformed message was received.
@@ -281,6 +298,24 @@
 	}
 }
 
+// abandon closes a connection that may lead to another node. Attempts that wait for it were never sent; those that were sent on it may run there, and are
+// cancelled.
+func (c *nodeConn) abandon(reason string) {
+	s := c.server
+	for _, r := range slices.Clone(c.requests) {
+		sentOn := r.sentOn
+		c.cancelAttempt(r)
+		verdict := outcome.VerdictWithoutConnection()
+		if sentOn != nil {
+			verdict = outcome.VerdictAfterDisconnect(true)
+		}
+		s.requests.complete(r, attemptOutcome{verdict: verdict})
+	}
+	if !c.draining && !c.closed {
+		c.close(reason)
+	}
+}
+
 // remove removes the connection from its node.
 func (c *nodeConn) remove() {
 	if c.closed {
--- /dev/null
+++ b/internal/platform/node_identity.go
@@ -0,0 +1,90 @@
+package platform
+
+import (
+	"slices"
+
+	"github.com/rs/zerolog"
+
+	"ravenpond/internal/decide/nodefailure"
+)
+
+// The methods of node in this file handle that another node may have its address: whether what is sent to the address reaches this node.
+
+// reportIdentity tells the host whether what is sent to the node is known to reach it, if that has changed: whether there is a connection that is known to
+// lead to the node.
+func (n *node) reportIdentity(now float64) {
+	if known := slices.ContainsFunc(n.conns, func(c *nodeConn) bool { return c.isKnown(now) }); known != n.identityKnown {
+		n.identityKnown = known
+		n.server.telemetry.trace("identity", 0, func(e *zerolog.Event) {
+			e.Str("node", n.name).Str("address", n.address).Bool("known", known)
+		})
+		n.server.host.OnNodeIdentity(now, n.id, known)
+	}
+}
+
+// isKnown reports whether the connection can be used for new requests and is known to lead to its node.
+func (c *nodeConn) isKnown(now float64) bool { return !c.draining && c.node.knows(now, c.history) }
+
+// knows reports whether a connection is known to lead to the node.
+func (n *node) knows(now float64, connection *nodefailure.Connection) bool {
+	return n.identity.Knows(now, n.server.endpoints.currentUpTo(now), connection)
+}
+
+// knownConn returns a connection that is known to lead to the node: an idle one, else the one with the fewest requests, nil if there is none.
+func (n *node) knownConn(now float64) (found *nodeConn) {
+	for _, c := range n.conns {
+		if c.isKnown(now) && c.isOpen() && (!c.isIdle() || c.isFresh(now)) && (found == nil || len(c.requests) < len(found.requests)) {
+			found = c
+		}
+	}
+	return found
+}
+
+// onTaskReported records a message of the node about a task.
+func (n *node) onTaskReported(r *request) {
+	if r.running {
+		n.identity.OnTaskReported(r.placed.KnownAt)
+	}
+}
+
+// mayLeadTo reports whether a connection that was made for this node may lead to another one, which has its address according to the node list.
+func (n *node) mayLeadTo(owner *node, connection *nodefailure.Connection) bool {
+	isBeingMade := connection.EstablishedAt == 0
+	return isBeingMade || owner.processStart.MayLeadTo(connection) || !n.identity.IsFromBefore(connection)
+}
+
+// displace handles that the node list gives the address of this node, which is unavailable, to another one. If it was listed until now and has sent
+// nothing since the other one started, its process has ended. A node that the list has told to be gone may still run its last tasks.
+func (n *node) displace(now float64, owner *node, wasListed bool) {
+	n.identity.OnDisplaced(now, owner.processStart.StartedAt())
+	n.endTasksAt(now, owner)
+	for _, c := range slices.Clone(n.conns) {
+		if n.mayLeadTo(owner, c.history) {
+			c.abandon("its address belongs to another node")
+		}
+	}
+	if wasListed && !n.isAliveBeside(owner) {
+		n.loseTasks(now)
+	}
+	n.checkConnsNow(now)
+	n.reportIdentity(now)
+}
+
+// endTasksAt ends the tasks that may run at another node, which has the address of this one: their answers came on connections that may lead there.
+// Should one run, it is stopped, as its client may request it again.
+func (n *node) endTasksAt(now float64, owner *node) {
+	for _, r := range n.sortedTasks() {
+		if connection := r.placed.AnsweredOn; connection != nil && n.mayLeadTo(owner, connection) {
+			task := r.task
+			n.loseTask(now, r)
+			owner.stopTask(task)
+		}
+	}
+}
+
+// isAliveBeside reports whether the node has sent something after another one started at its address.
+func (n *node) isAliveBeside(owner *node) bool {
+	return slices.ContainsFunc(n.conns, func(c *nodeConn) bool {
+		return !n.mayLeadTo(owner, c.history) && owner.processStart.IsOutlivedBy(c.history)
+	})
+}
--- a/internal/platform/node_messages.go
+++ b/internal/platform/node_messages.go
@@ -25,6 +25,7 @@
 	}
 	c.node.failureDetector.OnContact(now)
 	c.history.ReceivedAt = now
+	c.node.identity.OnReceived(c.history)
 	rest, err := splitMessages(c.partial, b, func(msg []byte) error {
 		if c.closed {
 			return nil
@@ -63,6 +64,7 @@
 	case codec.KindNote:
 		metric, value, ok := codec.ParseNote(msg)
 		if r := s.requests.task(task); ok && r != nil && r.node == c.node && (r.running || r.conn == c) {
+			c.node.onTaskReported(r)
 			s.host.OnNote(now, r.allocID, metric, value)
 		}
 		return nil
@@ -141,6 +143,7 @@
 		}
 	}
 	if r.running {
+		c.node.onTaskReported(r)
 		verdict := codec.VerdictOfRunning(cause)
 		c.node.rememberEnd(now, task, verdict)
 		s.requests.complete(r, attemptOutcome{verdict, reason, report})
--- a/internal/platform/node_table.go
+++ b/internal/platform/node_table.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"ravenpond/internal/decide/budget"
+	"ravenpond/internal/decide/nodeidentity"
 	codec "ravenpond/internal/proto/platform"
 	"ravenpond/logic"
 )
@@ -16,26 +17,14 @@
 	server *Server
 	byName map[string]*node
 	byID   map[uint32]*node
-	latest map[string]*node // the node that the list named last at each address
-	conns  int              // the number of connections to nodes, established or being made
-	report []float64        // the last load report, whose memory is reused
+	owners *nodeidentity.Addresses
+	atAddr map[string][]*node // all nodes by the address that the list named last
+	conns  int                // the number of connections to nodes, established or being made
+	report []float64          // the last load report, whose memory is reused
 }
 
 func newNodeTable(s *Server) nodeTable {
-	return nodeTable{server: s, byName: map[string]*node{}, byID: map[uint32]*node{}, latest: map[string]*node{}}
-}
-
-// recordAddress records that the list names a node at its address, and logs if it names another one there that is not gone.
-func (t *nodeTable) recordAddress(n *node) {
-	former := t.latest[n.address]
-	if n.isUnavailable() || former == n {
-		return
-	}
-	t.latest[n.address] = n
-	if former != nil && former.address == n.address && !former.isUnavailable() {
-		t.server.log.Info().Str("mode", "list").Str("node", n.name).Str("address", n.address).Str("former", former.name).
-			Int("stood", len(former.running)).Int("links", len(former.conns)).Msg("two listed nodes have one address")
-	}
+	return nodeTable{server: s, byName: map[string]*node{}, byID: map[uint32]*node{}, owners: nodeidentity.NewAddresses(), atAddr: map[string][]*node{}}
 }
 
 // named returns the node with a name, or nil.
@@ -63,7 +52,7 @@
 
 // add adds a node.
 func (t *nodeTable) add(name string) *node {
-	n := &node{server: t.server, id: t.number(name), name: name, running: map[*request]bool{}}
+	n := &node{server: t.server, id: t.number(name), name: name, running: map[*request]bool{}, identityKnown: true}
 	t.byName[name], t.byID[n.id] = n, n
 	return n
 }
@@ -84,9 +73,7 @@
 func (t *nodeTable) remove(n *node) {
 	delete(t.byID, n.id)
 	delete(t.byName, n.name)
-	if t.latest[n.address] == n {
-		delete(t.latest, n.address)
-	}
+	t.setAddress(n, "")
 }
 
 // removeUnavailable removes all nodes that are unavailable.
@@ -98,22 +85,46 @@
 	}
 }
 
-// closeConnsTo closes the connections of nodes that are no longer on the list that may lead to a node which has their address now: that it accepts
-// connections does not show that they are alive.
-func (t *nodeTable) closeConnsTo(owner *node) {
-	if owner.availability == logic.Unavailable || t.server.host.RunningTasks() == 0 {
+// setAddress sets the address that the node list gives a node, empty if none.
+func (t *nodeTable) setAddress(n *node, address string) {
+	if address == n.address {
 		return
 	}
-	var former []*node
-	for _, n := range t.byID {
-		if n != owner && n.address == owner.address && n.isUnavailable() && len(n.running) > 0 {
-			former = append(former, n)
-		}
+	t.owners.Release(n.address, n.id)
+	if others := removeUnordered(t.atAddr[n.address], n); len(others) > 0 {
+		t.atAddr[n.address] = others
+	} else {
+		delete(t.atAddr, n.address)
 	}
-	slices.SortFunc(former, byNumber)
-	for _, n := range former {
-		n.closeConnsTo(owner)
+	n.address = address
+	if address != "" {
+		t.atAddr[address] = append(t.atAddr[address], n)
+	}
+}
+
+// claimAddress records that the list names a node, in service or draining, at its address. It returns the availability that the node counts with, which
+// is unavailable if another one has the address, and the listed node that had the address until now, nil if there was none.
+func (t *nodeTable) claimAddress(n *node, listed logic.Availability, startedAt float64) (availability logic.Availability, former *node) {
+	claimed := t.owners.Claim(n.address, n.id, startedAt)
+	if !claimed.Owns {
+		return logic.Unavailable, nil
+	}
+	n.identity.OnAddressOwned()
+	if claimed.Displaced {
+		former = t.byID[claimed.Former]
+	}
+	return listed, former
+}
+
+// nodesBeside returns the other nodes at the address of a node that the list does not show in service there, in the order of their numbers.
+func (t *nodeTable) nodesBeside(owner *node) (others []*node) {
+	for _, n := range t.atAddr[owner.address] {
+		if n != owner && n.isUnavailable() {
+			others = append(others, n)
+		}
 	}
+	slices.SortFunc(others, byNumber)
+	return others
 }
 
 // addConn counts a connection that is being made.
--- a/internal/platform/node_tasks.go
+++ b/internal/platform/node_tasks.go
@@ -75,6 +75,7 @@
 func (n *node) onListed(now, startedAt float64) (restarted bool) {
 	restarted = n.processStart.OnListed(now, startedAt)
 	if restarted {
+		n.identity.OnStartListed()
 		n.endTasksOfEarlierProcess(now)
 	}
 	return restarted
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -24,11 +24,12 @@
 	conn            *nodeConn // the connection of the attempt in flight, nil if there is none
 	attempt         uint8     // the number of the last attempt
 	attemptDeadline float64
-	attemptBytes    int                   // the size of the last attempt's message
-	sentThrough     uint64                // bytes queued on conn through the attempt's message; once the task runs, on the client's connection through the answer
-	answered        bool                  // the request has its final answer, or needs none
-	running         bool                  // the task runs
-	placed          nodefailure.Placement // once the task runs
+	attemptBytes    int                     // the size of the last attempt's message
+	sentOn          *nodefailure.Connection // the connection on which the last attempt was sent, nil if it was not sent
+	sentThrough     uint64                  // bytes queued on conn through the attempt's message; once the task runs, on the client's connection through the answer
+	answered        bool                    // the request has its final answer, or needs none
+	running         bool                    // the task runs
+	placed          nodefailure.Placement   // once the task runs
 }
 
 // taskFields are the fields of a request that are forwarded to nodes.
--- a/internal/platform/telemetry.go
+++ b/internal/platform/telemetry.go
@@ -44,6 +44,7 @@
 	countDialsExhausted                // dials that failed because this machine had no descriptors or ports left
 	countMalformed                     // connections to nodes on which a malformed message was received
 	countEvicted                       // client connections that were evicted
+	countDisplaced                     // listed nodes whose address the list gave to another node
 	countProbes                        // health checks that the host requested
 	numCounters
 )
@@ -107,7 +108,7 @@
 	line.Ints("verdicts", t.outcomes[:])
 	t.addCounts(line, countField{"dials", countDials}, countField{"looks", countNodeChecks}, countField{"refused", countDialsFailed},
 		countField{"spent", countDialsExhausted}, countField{"spoilt", countMalformed}, countField{"expelled", countEvicted},
-		countField{"probes", countProbes})
+		countField{"probes", countProbes}, countField{"displaced", countDisplaced})
 	line.Int("ill", unhealthy).Int("strained", degraded).Int("reports", estimateError.Reports).
 		Float64("off_cores", math.Round(estimateError.Cores*10)/10).Float64("off_memory", math.Round(estimateError.Memory*10)/10).Msg("")
 	t.maxDelay = 0
--- a/logic/allocations.go
+++ b/logic/allocations.go
@@ -23,6 +23,7 @@
 	mayHaveRun      bool    // an earlier attempt may have run
 	mayHaveRunSince float64 // when the first such attempt was sent
 	mayHaveRunNode  int     // index of that attempt's node
+	nodeUncertain   bool    // such an attempt may have reached another node than it was sent to
 
 	failedNodes  []int // nodes that get no further attempt of this allocation
 	erroredNodes []int // nodes at which an attempt ended with an error
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -13,7 +13,8 @@
 func (s *Scheduler) checkAttempts(alloc *allocation) decision {
 	class := &s.classes[alloc.class]
 	expired := class.Semantics == Idempotent && s.now >= alloc.mayHaveRunSince+class.IdempotencyWindow-s.cluster.MinRoundInterval
-	if alloc.inFlight || s.attemptsLeft(alloc) <= 0 || alloc.mayHaveRun && (class.Semantics == AtMostOnce || expired) {
+	unscoped := alloc.nodeUncertain && class.IsScoped() // it is not known which nodes recognise a repeat
+	if alloc.inFlight || s.attemptsLeft(alloc) <= 0 || alloc.mayHaveRun && (class.Semantics == AtMostOnce || expired || unscoped) {
 		return finish
 	}
 	return proceed
--- a/logic/filters.go
+++ b/logic/filters.go
@@ -31,17 +31,17 @@
 // withinIdempotencyScope reports whether a node recognises a repeat of the allocation, which matters only if an earlier attempt may have run.
 func (s *Scheduler) withinIdempotencyScope(alloc *allocation, node *nodeState) bool {
 	class := &s.classes[alloc.class]
-	if !alloc.mayHaveRun || class.Semantics != Idempotent {
+	if !alloc.mayHaveRun || !class.IsScoped() {
 		return true
 	}
+	if node.identityUncertain {
+		return false
+	}
 	first := &s.nodes.all[alloc.mayHaveRunNode]
-	switch class.IdempotencyScope {
-	case ScopeZone:
-		return first.zone == node.zone
-	case ScopeCell:
+	if class.IdempotencyScope == ScopeCell {
 		return first.cell == node.cell
 	}
-	return true
+	return first.zone == node.zone
 }
 
 // spreadAllows reports whether the spread constraint permits one more allocation of the service on a node.
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -84,6 +84,7 @@
 	Allocation, Node uint32
 	Attempt          uint8   // number of the attempt, counted from 0
 	Duration         float64 // time since the attempt was sent
+	NodeUncertain    bool    // the attempt may have reached another node than Node
 	Answered         bool    // the allocation already has its final answer
 	Reason           Reason
 	Outcome          Outcome
@@ -148,6 +149,11 @@
 	MaxPerScope       int // maximum number of allocations of one service within one spread scope
 }
 
+// IsScoped reports whether repeats of the class's allocations are recognised, but only by some of the nodes.
+func (c *JobClass) IsScoped() bool {
+	return c.Semantics == Idempotent && c.IdempotencyScope != ScopeAll
+}
+
 // RetrySemantics defines when an allocation may be attempted again.
 type RetrySemantics uint8
 
--- a/logic/nodes.go
+++ b/logic/nodes.go
@@ -8,6 +8,8 @@
 	listVersion      int     // number of the last list message with an entry of the node
 	startedAt        float64 // when the node started according to the list; 0: long ago
 
+	identityUncertain bool // what is sent to the node may reach another one
+
 	capacity capacity
 	health   nodeHealth
 
@@ -38,6 +40,16 @@
 	return &t.all[i], true
 }
 
+// SetNodeIdentity records whether what is sent to a node is known to reach it: another node may have its address. An allocation that may have run, and
+// whose repeats only some nodes recognise, is not sent to a node of which that is uncertain.
+func (s *Scheduler) SetNodeIdentity(now float64, id uint32, known bool) {
+	s.now = now
+	if node, ok := s.nodes.find(id); ok {
+		node.identityUncertain = !known
+		s.queue.nextScanAt = now
+	}
+}
+
 // activateNode resets the state of a node that becomes ready. A node that has just started or become available again is in slow start for
 // as long as it may be cold.
 func (s *Scheduler) activateNode(node *nodeState, startedAt float64, restarted bool) {
--- a/logic/pipeline.go
+++ b/logic/pipeline.go
@@ -50,6 +50,7 @@
 		return
 	}
 	alloc.answered = alloc.answered || result.Answered
+	alloc.nodeUncertain = alloc.nodeUncertain || result.NodeUncertain && !result.Outcome.neverRan()
 	node := &s.nodes.all[alloc.node]
 	for x := len(pipeline) - 1; x >= 0; x-- {
 		pipeline[x].handleOutcome(s, alloc, node, result.Outcome, result.Reason)
