lab/platformsim: replace nodes at their addresses, and repeat lost dials

The simulation could not draw the incident: a new node took a dead one's address only once every scheduler had been told, and a dial to a vanished machine failed at its time-out whatever came up there meanwhile. A dial to a vanished machine is repeated every 200 ms until its time-out. The draws come from a stream of their own. A trace holds the schedulers' logs too.

--- a/internal/lab/platformsim/faults.go
+++ b/internal/lab/platformsim/faults.go
@@ -83,6 +83,7 @@
 		sm.clock.At(faultsFrom+faultSpan*sm.rng.Float64(), func() { inject(target) })
 	}
 	sm.drawVanishings()
+	sm.drawReplacements()
 }
 
 // drawRollingRestart schedules a stop of each scheduler in turn, with drained nodes and a configuration reload in the meantime.
--- a/internal/lab/platformsim/faulty_env_test.go
+++ b/internal/lab/platformsim/faulty_env_test.go
@@ -231,37 +231,54 @@
 	c.Conn.Start(&messageFilter{ConnHandler: p, filter: c.filter}, stuck)
 }
 
-// startHidingEnv hides the times at which nodes have started from the list, after the initial one.
-type startHidingEnv struct{ env.Environment }
+// listChangingEnv changes the lines of the node list after the initial one.
+type listChangingEnv struct {
+	env.Environment
+	change func(lines []byte) []byte
+}
 
-func (e startHidingEnv) Dial(address string, within float64, done func(env.Conn, error)) {
+func (e listChangingEnv) Dial(address string, within float64, done func(env.Conn, error)) {
 	e.Environment.Dial(address, within, func(c env.Conn, err error) {
 		if err == nil && strings.HasPrefix(address, "journal") {
-			c = &startHidingConn{c}
+			c = &listChangingConn{c, e.change}
 		}
 		done(c, err)
 	})
 }
 
-type startHidingConn struct{ env.Conn }
+type listChangingConn struct {
+	env.Conn
+	change func(lines []byte) []byte
+}
 
-func (c *startHidingConn) Start(p env.ConnHandler, stuck float64) {
-	c.Conn.Start(&startHidingHandler{ConnHandler: p}, stuck)
+func (c *listChangingConn) Start(p env.ConnHandler, stuck float64) {
+	c.Conn.Start(&listChangingHandler{ConnHandler: p, change: c.change}, stuck)
 }
 
-type startHidingHandler struct {
+type listChangingHandler struct {
 	env.ConnHandler
-	in []byte
+	change func(lines []byte) []byte
+	in     []byte
 }
 
-var startTime = regexp.MustCompile(`"since_ms":\d+`)
-
-func (h *startHidingHandler) OnData(b []byte) {
+func (h *listChangingHandler) OnData(b []byte) {
 	h.in = append(h.in, b...)
 	end := bytes.LastIndexByte(h.in, '\n') + 1
-	lines := startTime.ReplaceAll(h.in[:end], []byte(`"since_ms":0`))
+	lines := h.change(h.in[:end])
 	h.in = slices.Clone(h.in[end:])
 	if b == nil || len(lines) > 0 {
 		h.ConnHandler.OnData(lines)
 	}
 }
+
+var startTime = regexp.MustCompile(`"since_ms":\d+`)
+
+// hideStarts hides the times at which nodes have started.
+func hideStarts(lines []byte) []byte { return startTime.ReplaceAll(lines, []byte(`"since_ms":0`)) }
+
+var replacementEntry = regexp.MustCompile(`("name":"n\d+-[^"]*"),"address":"[^"]*"`)
+
+// hideSharedAddresses hides that new nodes have the addresses of former ones: they seem to be elsewhere.
+func hideSharedAddresses(lines []byte) []byte {
+	return replacementEntry.ReplaceAll(lines, []byte(`$1,"address":"elsewhere:1"`))
+}
--- a/internal/lab/platformsim/node.go
+++ b/internal/lab/platformsim/node.go
@@ -55,6 +55,7 @@
 	tasks         map[uint64]*attempt
 	arriving      map[uint64]*peerConn // requests that were read less than arrivalDelay ago, by task
 	unsentEnds    []unsentEnd
+	unlisted      bool      // the node list has not told of it yet
 	vanished      bool      // its machine has vanished, which the node list does not show
 	announcements int       // announcements of its status so far
 	announcedAt   float64   // true time in ms of the last one
@@ -97,16 +98,10 @@
 
 // addNode adds and starts a node. A node that is not cold is in the initial list; a cold one is announced.
 func (sm *simulation) addNode(name, address string, cold bool) {
-	n := &node{
-		sim: sm, id: uint32(len(sm.nodes) + 1), name: name, address: address, cell: len(sm.nodes) % cellCount,
-		zone: zoneNames[len(sm.nodes)%len(zoneNames)], status: statusReady,
-	}
+	n := sm.newNode(name, address)
 	if cold {
 		n.startedAt = math.Ceil(sm.unixTime()) // rounded up: the list has whole ms, and a node must not be announced as warmer than it is
 	}
-	n.process = sm.clock.NewHost(n.hostName())
-	sm.nodes = append(sm.nodes, n)
-	sm.rules.Nodes[n.id] = audit.Location{Zone: n.zone, Cell: fmt.Sprint(n.zone, n.cell)}
 	n.start(cold)
 	if cold {
 		sm.announce(n)
@@ -115,13 +110,25 @@
 	}
 }
 
+// newNode adds a node that has not started yet.
+func (sm *simulation) newNode(name, address string) *node {
+	n := &node{
+		sim: sm, id: uint32(len(sm.nodes) + 1), name: name, address: address, cell: len(sm.nodes) % cellCount,
+		zone: zoneNames[len(sm.nodes)%len(zoneNames)], status: statusReady,
+	}
+	n.process = sm.clock.NewHost(n.hostName())
+	sm.nodes = append(sm.nodes, n)
+	sm.rules.Nodes[n.id] = audit.Location{Zone: n.zone, Cell: fmt.Sprint(n.zone, n.cell)}
+	return n
+}
+
 // unixTime returns the true time in Unix ms.
 func (sm *simulation) unixTime() float64 {
 	return sm.clock.UnixTime()
 }
 
 // isInService reports whether the node is up, and ready according to the node list.
-func (n *node) isInService() bool { return n.status == statusReady && !n.vanished }
+func (n *node) isInService() bool { return n.status == statusReady && !n.vanished && !n.unlisted }
 
 // start starts an incarnation of the node, without tasks and without injected faults.
 func (n *node) start(cold bool) {
--- a/internal/lab/platformsim/scheduler.go
+++ b/internal/lab/platformsim/scheduler.go
@@ -65,8 +65,11 @@
 	s.start()
 }
 
-// Write checks a line of the scheduler's log. It never returns an error.
+// Write checks a line of the scheduler's log, and adds it to the trace. It never returns an error.
 func (s *scheduler) Write(line []byte) (int, error) {
+	if s.sim.Trace != nil {
+		_, _ = fmt.Fprintf(s.sim.Trace, "%.1f %s logs %s", s.sim.clock.TrueTime(), s.name, line)
+	}
 	for _, forbidden := range forbiddenLogs {
 		if bytes.Contains(line, forbidden) {
 			s.sim.fail(s.name + " logged: " + string(line))
--- a/internal/lab/platformsim/simulation.go
+++ b/internal/lab/platformsim/simulation.go
@@ -57,7 +57,7 @@
 	AsynchronousWrites  bool                                  // schedulers write to connections asynchronously, not in the call that sends
 	InitialEvents       func(events []byte) []byte            // changes the initial events of each scheduler, unless it is nil
 	CheckRestartedNodes bool                                  // also checks the ends of tasks that are handed over after their node has restarted
-	Trace               io.Writer                             // receives all audit records as text, unless it is nil
+	Trace               io.Writer                             // receives all audit records and the schedulers' logs as text, unless it is nil
 }
 
 // JobCounts counts the requests of a job class.
@@ -75,6 +75,7 @@
 	Restored         int          // running tasks that clients requested again from a restarted scheduler
 	RestoredEnded    int          // those of them that had ended
 	Undecidable      int          // ended tasks that were handed over after their node had restarted, and that are held
+	Replaced         int          // nodes that were replaced at their addresses
 	Resent           int          // requests sent again because they crossed the close of their connection
 	Jobs             [3]JobCounts // by job class
 }
@@ -89,6 +90,7 @@
 	r.RestoredEnded += other.RestoredEnded
 	r.Undecidable += other.Undecidable
 	r.Resent += other.Resent
+	r.Replaced += other.Replaced
 }
 
 // simulation is the state of a seed that is being played.
@@ -98,6 +100,7 @@
 	clock       world
 	rng         *rand.Rand
 	endingRNG   *rand.Rand // for faults that end tasks unseen; a stream of its own, so that the other faults of a seed stay the same
+	replaceRNG  *rand.Rand // for nodes that are replaced, for the same reason
 	auditor     *audit.Auditor
 	rules       audit.Rules
 	schedulers  []*scheduler
@@ -136,7 +139,8 @@
 func newSimulation(seed uint64, faults Faults, clock world) *simulation {
 	return &simulation{
 		Faults: faults, result: Result{Seed: seed}, clock: clock, rng: rand.New(rand.NewPCG(seed, 0x70a7e)), endingRNG: rand.New(rand.NewPCG(seed, 0xe7d5)),
-		tasks: map[uint64]*task{}, reportMode: "piggyback",
+		replaceRNG: rand.New(rand.NewPCG(seed, 0xadd2)),
+		tasks:      map[uint64]*task{}, reportMode: "piggyback",
 	}
 }
 
--- a/internal/lab/platformsim/simulation_test.go
+++ b/internal/lab/platformsim/simulation_test.go
@@ -66,6 +66,9 @@
 			"10 overloaded and 5 crowded seeds", normal, crowded, overloaded)
 	}
 	checkRestored(t, &sum)
+	if sum.Replaced < 100 {
+		t.Errorf("got %d nodes replaced at their addresses, want 100", sum.Replaced)
+	}
 }
 
 // checkRestored checks that enough tasks were handed over after restarts of schedulers, among them tasks that had ended.
@@ -113,7 +116,10 @@
 			return endDroppingEnv{w, map[uint64]bool{}}
 		}}, "did not notify its client"},
 		{"restarts of nodes are not seen in the list", Faults{WrapEnvironment: func(w env.Environment) env.Environment {
-			return startHidingEnv{w}
+			return listChangingEnv{w, hideStarts}
+		}}, "did not notify its client"},
+		{"a new node at the address of a listed one seems to be elsewhere", Faults{WrapEnvironment: func(w env.Environment) env.Environment {
+			return listChangingEnv{w, hideSharedAddresses}
 		}}, "did not notify its client"},
 		{"messages to clients are lost", Faults{WrapEnvironment: func(w env.Environment) env.Environment { return lossyEnv{w} }}, "rule 1"},
 	} {
--- a/internal/lab/sim/network.go
+++ b/internal/lab/sim/network.go
@@ -13,6 +13,9 @@
 	maxJitter   = 0.9
 )
 
+// dialRetransmit is the time after which the first packet of a connection is repeated, in ms.
+const dialRetransmit = 200
+
 var (
 	errAddressInUse = errors.New("address already in use")
 	errRefused      = fmt.Errorf("connection %w", env.ErrRefused)
@@ -107,7 +110,7 @@
 	fail := func(after float64, err error) { c.schedule(p, c.now+after, func() { done(nil, err) }) }
 	target := c.listeners[address]
 	if target == nil && c.hasVanished(address) {
-		fail(timeout, errTimeout)
+		p.redial(address, timeout, done)
 		return
 	}
 	if target == nil {
@@ -133,6 +136,17 @@
 	}
 }
 
+// redial dials an address again whose machine has vanished: the kernel repeats the first packet until the time-out, and whatever listens at the address by
+// then answers it.
+func (p *Process) redial(address string, timeout float64, done func(env.Conn, error)) {
+	c := p.clock
+	if timeout <= dialRetransmit {
+		c.schedule(p, c.now+timeout, func() { done(nil, errTimeout) })
+		return
+	}
+	c.schedule(p, c.now+dialRetransmit, func() { p.dial(address, timeout-dialRetransmit, done) })
+}
+
 // newConnPair connects two processes and returns both ends of the connection.
 func newConnPair(p, q *Process, between *link) (near, far *conn) {
 	near, far = &conn{process: p, link: between}, &conn{process: q, link: between}
