platform: decide anew on attempts that wait for a connection when a restart is told

Cause: a dial that is pending while a machine comes back cold carries attempts that were decided on before the list told of the restart; they are sent beside those that the slow start allows. Change: such attempts end as not sent when the restart is told, and the module decides anew.

--- a/internal/platform/node_conn.go
+++ b/internal/platform/node_conn.go
@@ -276,14 +276,18 @@
 
 // completeAll completes the attempts and the health check that were open on a connection that is closed.
 func (c *nodeConn) completeAll(verdict func(*request) logic.Outcome, probeVerdict logic.Outcome) {
-	s := c.server
+	c.completeRequests(verdict)
+	if s := c.server; c.probeSeq != 0 {
+		s.host.OnProbeResult(s.env.Now(), c.node.id, c.probeSeq, probeVerdict, nil)
+	}
+}
+
+// completeRequests completes the attempts that are open on the connection.
+func (c *nodeConn) completeRequests(verdict func(*request) logic.Outcome) {
 	for _, r := range slices.Clone(c.requests) {
 		v := verdict(r)
 		c.removeRequest(r)
-		s.requests.complete(r, attemptOutcome{verdict: v})
-	}
-	if c.probeSeq != 0 {
-		s.host.OnProbeResult(s.env.Now(), c.node.id, c.probeSeq, probeVerdict, nil)
+		c.server.requests.complete(r, attemptOutcome{verdict: v})
 	}
 }
 
--- a/internal/platform/node_restart_test.go
+++ b/internal/platform/node_restart_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	codec "ravenpond/internal/proto/platform"
+	"ravenpond/logic"
 )
 
 // vanish ends the node with its machine: connections to it are silent, and new ones never come up.
@@ -287,3 +288,34 @@
 		})
 	}
 }
+
+// TestPendingAttemptsAreDecidedAnew guards against pushing over a cold node: attempts that were decided on before its restart was told, and still wait for
+// a connection, are sent to the new process beside those that its slow start allows.
+func TestPendingAttemptsAreDecidedAnew(t *testing.T) {
+	r := startRig(t, "a")
+	n, x := r.nodes["a"], r.dial()
+	x.request(1, "batch")
+	r.advance(100)
+	n.vanish()
+	r.advance(20000) // the connections to the earlier process are given up
+	for task := range uint64(3) {
+		x.request(10+task, "batch")
+	}
+	r.advance(30)
+	startedAt := r.unixNow()
+	before := r.server.telemetry.outcomes[logic.NotSent]
+	pending := 0
+	for _, c := range r.server.nodes.byName["a"].conns {
+		if c.conn == nil {
+			pending += len(c.requests)
+		}
+	}
+	if pending == 0 {
+		t.Fatal("no attempt waits for a connection")
+	}
+	r.journal.publish(entrySince(startedAt))
+	r.advance(20)
+	if got := r.server.telemetry.outcomes[logic.NotSent] - before; got != pending {
+		t.Errorf("%d of %d attempts that waited for a connection were withdrawn when the restart was told", got, pending)
+	}
+}
--- a/internal/platform/node_tasks.go
+++ b/internal/platform/node_tasks.go
@@ -76,11 +76,22 @@
 	restarted = n.processStart.OnListed(now, startedAt)
 	if restarted {
 		n.identity.OnStartListed()
+		n.withdrawPendingAttempts()
 		n.endTasksOfEarlierProcess(now)
 	}
 	return restarted
 }
 
+// withdrawPendingAttempts ends the attempts that wait for a connection, as never sent: they were decided on for an earlier process of the node, which was
+// not in slow start.
+func (n *node) withdrawPendingAttempts() {
+	for _, c := range slices.Clone(n.conns) {
+		if c.conn == nil {
+			c.completeRequests(func(*request) logic.Outcome { return logic.NotSent })
+		}
+	}
+}
+
 // endTasksOfEarlierProcess ends the tasks that ended with an earlier process of the node. It also stops them, in case one still runs.
 func (n *node) endTasksOfEarlierProcess(now float64) {
 	s := n.server
