platform: end tasks that nothing proves to run while the list is not current

Cause: a connection that the new process accepts counts as a sign of life of the node, and the list can't tell of the restart. Change: while the list is not current, tasks from before the first sign that the process may have ended count as over 7.6 s after it was last known to live, unless something on an older connection or about one of its tasks proves that it lives; they are stopped as well. While the list is current nothing changes, as it tells of a restart.

--- a/internal/decide/nodeidentity/nodeidentity.go
+++ b/internal/decide/nodeidentity/nodeidentity.go
@@ -23,6 +23,9 @@
 	listNoticeTime = 3000
 	// confirmationTime is longer than a list takes to notice a silent machine and is late together.
 	confirmationTime = 30000
+	// proofTime is the time without proof that a process lives after which its tasks count as ended while the list tells nothing: clients are to be
+	// notified within 8 s.
+	proofTime = 7600
 )
 
 // Identity tells whether connections to a node's address are known to lead to the node. They are not once there is a sign that its process may have
@@ -131,6 +134,12 @@
 	return !i.inDoubt || c.EstablishedAt <= i.aliveAt
 }
 
+// HasPresumablyEnded reports whether a task that started at the node at a time counts as ended because nothing proves that its process lives, and the list
+// is not current, so that it tells nothing either. That some process accepts connections at the address proves nothing.
+func (i *Identity) HasPresumablyEnded(now float64, listCurrent bool, startedAt float64) bool {
+	return i.inDoubt && !listCurrent && startedAt <= i.aliveAt && now-i.aliveAt >= proofTime
+}
+
 // MaySend reports whether an attempt of a request may be sent on a connection. Once an attempt of a request may have run whose repeats are recognised
 // by some nodes only, the connection must be known to lead to its node.
 func MaySend(class *logic.JobClass, mayHaveRun, known bool) bool {
--- a/internal/decide/nodeidentity/nodeidentity_test.go
+++ b/internal/decide/nodeidentity/nodeidentity_test.go
@@ -75,6 +75,32 @@
 	}
 }
 
+// TestHasPresumablyEnded checks when a task at a node that fell silent after 9000 ms, and accepts connections again, counts as ended.
+func TestHasPresumablyEnded(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		now, startedAt float64
+		current        bool
+		want           bool
+	}{
+		{"the list is current", 30000, 5000, true, false},
+		{"the list is not current", 9000 + proofTime, 5000, false, true},
+		{"too early", 9000 + proofTime - 1, 5000, false, false},
+		{"started since", 30000, 12000, false, false},
+	} {
+		var i Identity
+		i.OnConnectFailed(connection(10000, 0, 0), 9000)
+		i.OnConnected(connection(10999, 11000, 11000))
+		if got := i.HasPresumablyEnded(c.now, c.current, c.startedAt); got != c.want {
+			t.Errorf("%s: got ended %t, want %t", c.name, got, c.want)
+		}
+	}
+	var i Identity
+	if i.HasPresumablyEnded(100000, false, 5000) {
+		t.Error("without a sign that the process has ended: got ended")
+	}
+}
+
 // TestMaySend checks which attempts need a connection that is known to lead to its node.
 func TestMaySend(t *testing.T) {
 	inZone := &logic.JobClass{Semantics: logic.Idempotent, IdempotencyScope: logic.ScopeZone}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -60,6 +60,7 @@
 	n.reportIdentity(now)
 	connected := n.closeStaleConns(now)
 	if len(n.running) > 0 {
+		n.endUnprovenTasks(now)
 		if n.isUnavailable() {
 			n.checkConns(now)
 		} else {
--- a/internal/platform/node_identity.go
+++ b/internal/platform/node_identity.go
@@ -40,6 +40,24 @@
 	return found
 }
 
+// endUnprovenTasks ends the tasks of which nothing proves that their process lives, while the list is not current. They are also stopped, in case they run.
+func (n *node) endUnprovenTasks(now float64) {
+	s := n.server
+	current := s.endpoints.isCurrent(now)
+	ended := slices.DeleteFunc(n.sortedTasks(), func(r *request) bool { return !n.identity.HasPresumablyEnded(now, current, r.placed.KnownAt) })
+	if len(ended) == 0 {
+		return
+	}
+	s.log.Info().Str("mode", "lost").Str("node", n.name).Int("stood", len(n.running)).Int("ended", len(ended)).
+		Msg("node was out of reach and the list is not current; ending the tasks from before")
+	for _, r := range ended {
+		task := r.task
+		n.loseTask(now, r)
+		n.stopTask(task)
+	}
+	s.loop.wake()
+}
+
 // onTaskReported records a message of the node about a task.
 func (n *node) onTaskReported(r *request) {
 	if r.running {
--- /dev/null
+++ b/internal/platform/node_identity_test.go
@@ -0,0 +1,33 @@
+package platform
+
+import (
+	"fmt"
+	"testing"
+)
+
+// TestTasksEndWhileListIsSilent guards against tasks that are held for good because some process accepts connections at the address of their node, while the
+// list tells nothing of its restart: its machine vanishes and comes back cold, and the journal service is silent. The task of a node that stays alive goes on.
+func TestTasksEndWhileListIsSilent(t *testing.T) {
+	for _, vanishes := range []bool{true, false} {
+		t.Run(fmt.Sprint("vanishes ", vanishes), func(t *testing.T) {
+			r := startRig(t, "a")
+			n, x := r.nodes["a"], r.dial()
+			x.request(7, "single")
+			r.advance(1000)
+			r.journal.silent = true
+			want := []string{"7 served " + n.description(7)}
+			if vanishes {
+				n.vanish()
+				want = append(want, "7 end 41")
+			}
+			r.advance(5000)
+			if vanishes {
+				n.restart()
+			}
+			r.advance(3050) // clients are to be notified within 8.05 s
+			x.want("8.05 s later", want...)
+			r.advance(30000)
+			x.want("in the end", want...)
+		})
+	}
+}
