--- a/internal/decide/nodefailure/nodefailure.go
+++ b/internal/decide/nodefailure/nodefailure.go
@@ -32,6 +32,9 @@
 // LastContactAt returns when the last contact was, 0 if there was none.
 func (d *Detector) LastContactAt() float64 { return d.lastContactAt }
 
+// IsFailing reports whether probes have failed since the last contact.
+func (d *Detector) IsFailing() bool { return d.failingSince > 0 }
+
 // OnProbe records that a probe starts.
 func (d *Detector) OnProbe(now float64) { d.probing, d.lastProbeAt = true, now }
 
--- a/internal/decide/nodeidentity/nodeidentity.go
+++ b/internal/decide/nodeidentity/nodeidentity.go
@@ -134,10 +134,11 @@
 	return !i.inDoubt || c.EstablishedAt <= i.aliveAt
 }
 
-// HasPresumablyEnded reports whether a task that started at the node at a time counts as ended because nothing proves that its process lives, and the list
-// is not current, so that it tells nothing either. That some process accepts connections at the address proves nothing.
-func (i *Identity) HasPresumablyEnded(now float64, listCurrent bool, startedAt float64) bool {
-	return i.inDoubt && !listCurrent && startedAt <= i.aliveAt && now-i.aliveAt >= proofTime
+// HasPresumablyEnded reports whether a task that started at the node at a time counts as ended because nothing proves that its process lives: the list
+// is not current, so that it tells nothing, or the node is out of reach again. That some process has accepted connections at the address meanwhile
+// proves nothing.
+func (i *Identity) HasPresumablyEnded(now float64, listCurrent, outOfReach bool, startedAt float64) bool {
+	return i.inDoubt && (!listCurrent || outOfReach) && startedAt <= i.aliveAt && now-i.aliveAt >= proofTime
 }
 
 // MaySend reports whether an attempt of a request may be sent on a connection. Once an attempt of a request may have run whose repeats are recognised
--- a/internal/decide/nodeidentity/nodeidentity_test.go
+++ b/internal/decide/nodeidentity/nodeidentity_test.go
@@ -81,22 +81,24 @@
 		name           string
 		now, startedAt float64
 		current        bool
+		outOfReach     bool
 		want           bool
 	}{
-		{"the list is current", 30000, 5000, true, false},
-		{"the list is not current", 9000 + proofTime, 5000, false, true},
-		{"too early", 9000 + proofTime - 1, 5000, false, false},
-		{"started since", 30000, 12000, false, false},
+		{"the list is current", 30000, 5000, true, false, false},
+		{"the list is current, the node is out of reach again", 30000, 5000, true, true, true},
+		{"the list is not current", 9000 + proofTime, 5000, false, false, true},
+		{"too early", 9000 + proofTime - 1, 5000, false, true, false},
+		{"started since", 30000, 12000, false, true, false},
 	} {
 		var i Identity
 		i.OnConnectFailed(connection(10000, 0, 0), 9000)
 		i.OnConnected(connection(10999, 11000, 11000))
-		if got := i.HasPresumablyEnded(c.now, c.current, c.startedAt); got != c.want {
+		if got := i.HasPresumablyEnded(c.now, c.current, c.outOfReach, c.startedAt); got != c.want {
 			t.Errorf("%s: got ended %t, want %t", c.name, got, c.want)
 		}
 	}
 	var i Identity
-	if i.HasPresumablyEnded(100000, false, 5000) {
+	if i.HasPresumablyEnded(100000, false, true, 5000) {
 		t.Error("without a sign that the process has ended: got ended")
 	}
 }
--- a/internal/platform/node_identity.go
+++ b/internal/platform/node_identity.go
@@ -40,20 +40,26 @@
 	return found
 }
 
-// endUnprovenTasks ends the tasks of which nothing proves that their process lives, while the list is not current. They are also stopped, in case they run.
+// endUnprovenTasks ends the tasks of which nothing proves that their process lives. They are also stopped, in case they run.
 func (n *node) endUnprovenTasks(now float64) {
 	s := n.server
-	current := s.endpoints.isCurrent(now)
-	ended := slices.DeleteFunc(n.sortedTasks(), func(r *request) bool { return !n.identity.HasPresumablyEnded(now, current, r.placed.KnownAt) })
+	current, outOfReach := s.endpoints.isCurrent(now), n.failureDetector.IsFailing()
+	ended := slices.DeleteFunc(n.sortedTasks(), func(r *request) bool {
+		return !n.identity.HasPresumablyEnded(now, current, outOfReach, r.placed.KnownAt)
+	})
 	if len(ended) == 0 {
 		return
 	}
 	s.log.Info().Str("mode", "lost").Str("node", n.name).Int("stood", len(n.running)).Int("ended", len(ended)).
-		Msg("node was out of reach and the list is not current; ending the tasks from before")
+		Msg("nothing proves that the node's process lives; ending its tasks")
 	for _, r := range ended {
 		task := r.task
 		n.loseTask(now, r)
-		n.stopTask(task)
+		if outOfReach { // a stop on an open connection would be lost
+			n.queueStop(now, task)
+		} else {
+			n.stopTask(task)
+		}
 	}
 	s.loop.wake()
 }
