--- a/internal/lab/platformproc/process.go
+++ b/internal/lab/platformproc/process.go
@@ -121,14 +121,9 @@
 	<-p.ended
 }
 
-// PeakMemory returns the largest resident size of the process so far, in bytes.
-func (p *Process) PeakMemory() (int, error) { return p.statusBytes("VmHWM:") }
-
-// Memory returns the resident size of the process, in bytes.
-func (p *Process) Memory() (int, error) { return p.statusBytes("VmRSS:") }
-
-// statusBytes returns a size from the kernel's status of the process.
-func (p *Process) statusBytes(field string) (int, error) {
+// PrivateMemory returns the resident size of the process in bytes, without the pages of its program file, which all processes of it share.
+func (p *Process) PrivateMemory() (int, error) {
+	const field = "RssAnon:"
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
 	if err != nil {
 		return 0, err
