platform: pause reading a client connection that always has a full buffer waiting

Cause: its reader always finds a full buffer and takes the core; the gate measures the lag and sheds the requests of all alike. Change: after a read that fills its 16 KB an accepted connection is not read for 2 ms (connlimits.FullReadPause): the kernel's window then slows that peer. A client that sends less than a buffer at a time is never paused.

--- a/internal/decide/connlimits/connlimits.go
+++ b/internal/decide/connlimits/connlimits.go
@@ -11,6 +11,7 @@
 	MaxUnsentBytes      = 256 << 10 // bytes that the peer has not read yet
 	WriteTimeout        = 2000      // ms for which the peer may read nothing
 	MinIdleTime         = 500       // ms without work after which the connection may be closed in favor of another
+	FullReadPause       = 2         // ms for which a connection is not read after it had a full buffer waiting, so that one client leaves time for others
 	MinTimeLeft         = 1         // ms to a deadline below which an answer would come too late
 	maxExpiryFactor     = 20        // longest plausible wait of a client, as a multiple of the usual expiry
 )
--- a/internal/env/conn.go
+++ b/internal/env/conn.go
@@ -28,6 +28,7 @@
 	wake         chan struct{}   // holds one signal for the writer
 	writerDone   chan struct{}   // closed once everything is written and the socket is closed, at least for writing
 	stallTimeout time.Duration   // set by Start
+	readPause    time.Duration   // after a read that filled its buffer
 
 	readMu     sync.Mutex // held while bytes are taken out of the socket; guards the fields below
 	received   uint64     // bytes for which a call of OnData has returned
--- a/internal/env/conn_read.go
+++ b/internal/env/conn_read.go
@@ -45,6 +45,9 @@
 		if err != nil {
 			return err
 		}
+		if n == writeThroughReadBufferSize {
+			time.Sleep(c.readPause)
+		}
 	}
 }
 
--- a/internal/env/listener.go
+++ b/internal/env/listener.go
@@ -45,7 +45,9 @@
 			if r.TLS != nil {
 				r.handshake(c, pending, onAccept)
 			} else {
-				onAccept(r.newConn(c, &r.trafficByKind[Accepted]))
+				conn := r.newConn(c, &r.trafficByKind[Accepted])
+				conn.readPause = r.ReadPause
+				onAccept(conn)
 			}
 		})
 	})
--- a/internal/env/real.go
+++ b/internal/env/real.go
@@ -35,6 +35,9 @@
 	// MaxLingering limits the number of connections that were closed gracefully and wait for their peers to close too; 0 means 64. Beyond it, the
 	// oldest is closed completely.
 	MaxLingering int
+	// ReadPause is how long an accepted connection is not read after a read has filled its buffer, with WriteThrough. It leaves the processor to others while
+	// one peer sends without end.
+	ReadPause time.Duration
 	// EndpointListAddress is the address of the endpoint list, whose connection is counted apart from those to nodes.
 	EndpointListAddress string
 
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"ravenpond/internal/decide/connlimits"
 	"ravenpond/internal/env"
 )
 
@@ -36,6 +37,7 @@
 	}
 	environment := env.NewReal()
 	environment.WriteThrough = true // Send writes a message at once instead of leaving it to a writer goroutine
+	environment.ReadPause = connlimits.FullReadPause * time.Millisecond
 	defer environment.Close(exitTimeout)
 	s := New(environment, log.With().Str("scheduler", configuration.Name).Logger(), configuration)
 	environment.MaxLingering = s.limits.LingeringConns
