platform: do not run work again under a number that may have run

Cause: with its client the request is withdrawn and forgotten, though its attempt was sent; the number then looks new.

--- a/internal/platform/client_requests.go
+++ b/internal/platform/client_requests.go
@@ -55,6 +55,8 @@
 		rejected = invalid("larger than any machine")
 	case f.demand.RunsAt != "":
 		rejected = c.recoverTask(now, task, f)
+	case s.usedNumbers.Contains(now, task):
+		rejected = &rejection{codec.CauseReset, "a number under which work may have run"}
 	default:
 		rejected = c.acceptRequest(now, task, f, msg)
 	}
--- a/internal/platform/host/allocations.go
+++ b/internal/platform/host/allocations.go
@@ -138,6 +138,6 @@
 func (h *Host) forgetIfDone(a *allocation) {
 	if a.answered && !a.inFlight {
 		delete(h.allocations, a.id())
-		h.effects.Forget(a.id())
+		h.effects.Forget(a.id(), a.mayHaveRun)
 	}
 }
--- a/internal/platform/host/host.go
+++ b/internal/platform/host/host.go
@@ -37,8 +37,8 @@
 	NotifyMigration(alloc uint32)
 	// NotifyEnd notifies the client that its running task has ended.
 	NotifyEnd(alloc uint32, verdict logic.Outcome)
-	// Forget is the last call for an allocation.
-	Forget(alloc uint32)
+	// Forget is the last call for an allocation. mayHaveRun says that one of its attempts may have run.
+	Forget(alloc uint32, mayHaveRun bool)
 	// Probe sends a health check to a node. The caller passes its result to OnProbeResult with the same sequence number.
 	Probe(node, seq uint32)
 	// PollNodeList requests the changes of the node list. The answer may also be that the list cannot be read.
--- a/internal/platform/host/host_test.go
+++ b/internal/platform/host/host_test.go
@@ -38,7 +38,7 @@
 func (s *harness) StopTask(id, _ uint32)                { s.record("stop %d", id) }
 func (s *harness) NotifyMigration(id uint32)            { s.record("migrate %d", id) }
 func (s *harness) NotifyEnd(id uint32, v logic.Outcome) { s.record("end %d %d", id, v) }
-func (s *harness) Forget(id uint32)                     { s.record("forget %d", id) }
+func (s *harness) Forget(id uint32, _ bool)             { s.record("forget %d", id) }
 func (s *harness) Probe(_, seq uint32)                  { s.probe = seq }
 func (s *harness) PollNodeList()                        {}
 func (s *harness) LogLine(string)                       {}
--- a/internal/platform/host_effects.go
+++ b/internal/platform/host_effects.go
@@ -95,11 +95,17 @@
 	s.notifier.notifyEnd(r, verdict)
 }
 
-// Forget drops a request that the host no longer tracks.
-func (e hostEffects) Forget(alloc uint32) {
-	if r := e.server.requests.allocation(alloc); r != nil {
-		e.server.requests.forget(r)
+// Forget drops a request that the host no longer tracks. If it may have run, its number is not used again.
+func (e hostEffects) Forget(alloc uint32, mayHaveRun bool) {
+	s := e.server
+	r := s.requests.allocation(alloc)
+	if r == nil {
+		return
+	}
+	if mayHaveRun {
+		s.usedNumbers.Add(s.env.Now(), r.task, &s.settings.Cluster.JobClasses[r.jobClass])
 	}
+	s.requests.forget(r)
 }
 
 // Probe sends a health check to a node.
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -12,6 +12,7 @@
 //	endpointWatch     the node list, as watched at the journal service (watchConn)
 //	notifier          notifications of clients, and those that could not be sent yet
 //	endedtasks.Memory ends of tasks, for clients that hand them over afterwards
+//	usednumbers.Memory numbers of tasks that may have run, which may come again
 //	shutdownSequence  the steps of a planned shutdown
 //	telemetry         counters, traces and the statistics line of the log
 //	host.Host         the placement module with its attempts and timers
@@ -36,6 +37,7 @@
 
 	"ravenpond/internal/decide/budget"
 	"ravenpond/internal/decide/endedtasks"
+	"ravenpond/internal/decide/usednumbers"
 	"ravenpond/internal/env"
 	"ravenpond/internal/platform/host"
 	"ravenpond/internal/settings"
@@ -52,17 +54,18 @@
 	mu           sync.Mutex // guards the parts below
 	unreadBuffer []byte     // reused by the looks at what clients have sent; bounded by env.MaxUnread and one read
 
-	host      *host.Host
-	loop      turnLoop
-	load      loadMonitor
-	requests  requestTable
-	clients   clientListener
-	nodes     nodeTable
-	endpoints endpointWatch
-	notifier  notifier
-	ended     *endedtasks.Memory
-	shutdown  shutdownSequence
-	telemetry telemetry
+	host        *host.Host
+	loop        turnLoop
+	load        loadMonitor
+	requests    requestTable
+	clients     clientListener
+	nodes       nodeTable
+	endpoints   endpointWatch
+	notifier    notifier
+	ended       *endedtasks.Memory
+	usedNumbers *usednumbers.Memory
+	shutdown    shutdownSequence
+	telemetry   telemetry
 }
 
 // New returns a scheduler with a configuration. It has no connections until Start.
@@ -79,6 +82,7 @@
 	s.endpoints = newEndpointWatch(s, configuration.Journal)
 	s.notifier = notifier{server: s}
 	s.ended = endedtasks.NewMemory()
+	s.usedNumbers = usednumbers.NewMemory()
 	s.shutdown = newShutdownSequence(s)
 	s.telemetry = newTelemetry(s)
 	return s
