platform: remember ends by address where it is uncertain which node reports them

Once the list has told of the new node, the client of a restarted scheduler hands the task over at it, and it is held for good. Change: an end on a connection that is not known to lead to its node is remembered for the address too, and a hand-over looks there as well.

--- a/internal/platform/client_requests.go
+++ b/internal/platform/client_requests.go
@@ -156,7 +156,7 @@
 	if n == nil {
 		return &rejection{codec.CauseReset, "at a node that is not there"}
 	}
-	if verdict, ended := s.ended.Find(now, n.taskKey(task)); ended {
+	if verdict, ended := n.earlierEnd(now, task); ended {
 		c.notifyEarlierEnd(now, n, task, verdict)
 		return nil
 	}
--- a/internal/platform/node_identity.go
+++ b/internal/platform/node_identity.go
@@ -1,11 +1,14 @@
 package platform
 
 import (
+	"hash/fnv"
 	"slices"
 
 	"github.com/rs/zerolog"
 
+	"ravenpond/internal/decide/endedtasks"
 	"ravenpond/internal/decide/nodefailure"
+	"ravenpond/logic"
 )
 
 // The methods of node in this file handle that another node may have its address: whether what is sent to the address reaches this node.
@@ -71,6 +74,30 @@
 	}
 }
 
+// rememberEnd remembers that the node at the other end of the connection has reported the end of a task. If it is not known to be the node that the
+// connection was made for, the end is remembered for whichever node is at the address.
+func (c *nodeConn) rememberEnd(now float64, task uint64, verdict logic.Outcome) {
+	c.node.rememberEnd(now, task, verdict)
+	if !c.node.knows(now, c.history) {
+		c.server.ended.Add(now, addressKey(c.node.address, task), verdict)
+	}
+}
+
+// earlierEnd returns how a task that is handed over at the node has ended, if that is remembered.
+func (n *node) earlierEnd(now float64, task uint64) (verdict logic.Outcome, ended bool) {
+	if verdict, ended = n.server.ended.Find(now, n.taskKey(task)); ended {
+		return verdict, true
+	}
+	return n.server.ended.Find(now, addressKey(n.address, task))
+}
+
+// addressKey returns the key of a task at whichever node has an address.
+func addressKey(address string, task uint64) endedtasks.Task {
+	f := fnv.New32a()
+	f.Write([]byte(address))
+	return endedtasks.Task{Node: f.Sum32(), ID: task}
+}
+
 // mayLeadTo reports whether a connection that was made for this node may lead to another one, which has its address according to the node list.
 func (n *node) mayLeadTo(owner *node, connection *nodefailure.Connection) bool {
 	isBeingMade := connection.EstablishedAt == 0
--- a/internal/platform/node_identity_test.go
+++ b/internal/platform/node_identity_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
+
+	codec "ravenpond/internal/proto/platform"
 )
 
 // TestTasksEndWhileListIsSilent guards against tasks that are held for good because some process accepts connections at the address of their node, while the
@@ -31,3 +34,23 @@
 		})
 	}
 }
+
+// TestEndUnderFormerName guards against tasks that are held for good: a new node reports their end while the scheduler takes it for the node that had its
+// address before, and their client hands them over once the list has told of the new node.
+func TestEndUnderFormerName(t *testing.T) {
+	r := startRig(t, "a")
+	r.nodes["a"].process.Kill(false)
+	n := newFakeNode(r, "d", "a")
+	startedAt := r.unixNow()
+	r.advance(1000)
+	r.connectNodes()
+	n.conns[0].send(codec.AppendEnd(nil, 7, codec.CauseNormal))
+	r.advance(50)
+	entry := strings.Replace(entryJSON("d", "a", "ready"), `"since_ms":0`, fmt.Sprintf(`"since_ms":%.0f`, startedAt), 1)
+	r.journal.publish(entry)
+	r.advance(50)
+	x := r.dial()
+	x.send(setUp(7, "single", codec.ParamDemand, demandText+";at:d"))
+	r.advance(50)
+	x.want("after the hand-over", "7 end 16")
+}
--- a/internal/platform/node_messages.go
+++ b/internal/platform/node_messages.go
@@ -145,7 +145,7 @@
 	if r.running {
 		c.node.onTaskReported(r)
 		verdict := codec.VerdictOfRunning(cause)
-		c.node.rememberEnd(now, task, verdict)
+		c.rememberEnd(now, task, verdict)
 		s.requests.complete(r, attemptOutcome{verdict, reason, report})
 	}
 	return nil
@@ -161,7 +161,7 @@
 		e.Str("node", c.node.name).Uint8("cause", cause).Bool("remembered", remembered)
 	})
 	if remembered {
-		c.node.rememberEnd(now, task, codec.VerdictOfRunning(cause))
+		c.rememberEnd(now, task, codec.VerdictOfRunning(cause))
 	}
 }
 
