--- a/internal/lab/platformsim/replace.go
+++ b/internal/lab/platformsim/replace.go
@@ -49,15 +49,15 @@
 	sm.after(minReplaceTime+replaceTimeRange*sm.replaceRNG.Float64(), func() { sm.startReplacement(n) })
 }
 
-// startReplacement starts the new node. Only attempts that arrive after the node list has told of it count for the rule on cold nodes.
+// startReplacement starts the new node, of which the node list tells later.
 func (sm *simulation) startReplacement(former *node) {
 	n := sm.newNode(fmt.Sprintf("%s-%d", former.name, len(sm.nodes)), former.address)
 	n.startedAt, n.unlisted = math.Ceil(sm.unixTime()), true
 	n.start(false)
+	n.coldSince = n.starts[len(n.starts)-1]
 	sm.result.Replaced++
 	sm.after(maxAddNotice*sm.replaceRNG.Float64(), func() {
 		n.unlisted = false
-		n.coldSince, n.arrivals = n.starts[len(n.starts)-1], nil
 		sm.announce(n)
 	})
 }
