--- a/internal/decide/nodeidentity/nodeidentity.go
+++ b/internal/decide/nodeidentity/nodeidentity.go
@@ -134,6 +134,9 @@
 	return !i.inDoubt || c.EstablishedAt <= i.aliveAt
 }
 
+// InDoubt reports whether there was a sign that the node's process may have ended, and no proof since that it lives.
+func (i *Identity) InDoubt() bool { return i.inDoubt }
+
 // HasPresumablyEnded reports whether a task that started at the node at a time counts as ended because nothing proves that its process lives: the list
 // is not current, so that it tells nothing, or the node is out of reach again. That some process has accepted connections at the address meanwhile
 // proves nothing.
--- a/internal/platform/node_identity.go
+++ b/internal/platform/node_identity.go
@@ -45,6 +45,9 @@
 
 // endUnprovenTasks ends the tasks of which nothing proves that their process lives. They are also stopped, in case they run.
 func (n *node) endUnprovenTasks(now float64) {
+	if !n.identity.InDoubt() {
+		return
+	}
 	s := n.server
 	current, outOfReach := s.endpoints.isCurrent(now), n.failureDetector.IsFailing()
 	ended := slices.DeleteFunc(n.sortedTasks(), func(r *request) bool {
