--- a/internal/lab/platformsim/known_seeds_test.go
+++ b/internal/lab/platformsim/known_seeds_test.go
@@ -13,12 +13,12 @@
 // 4392, 1864 and 5272: a request is answered 77, 29 and 32 ms late, by an overloaded scheduler. 110996: one gets no answer by its deadline.
 //
 // 988, 2380, 10476, 11280 and 119884: an offer 464 to 549 ms after the notification that its node drains, where 400 ms are allowed, by an
-// overloaded scheduler. 7952, 9848, 16744 and 26068: the same, 466 to 500 ms.
+// overloaded scheduler. 7952, 9848, 16744, 26068, 37788 and 41528: the same, 462 to 536 ms. 34628: an answer 5 ms late, as 4392.
 //
 // 9835: a node that took the address of a listed one is pushed over by a scheduler to which the list tells of it 143 ms late. 16369: an offer 806 ms after a
 // drain was told at the moment of a reload.
 func TestSeedsThatBroke(t *testing.T) {
-	for _, seed := range []uint64{988, 1864, 2380, 3264, 4392, 5272, 5376, 7952, 9835, 9848, 10476, 11280, 16369, 16744, 26068, 104608, 104744, 110996, 119884} {
+	for _, seed := range []uint64{988, 1864, 2380, 3264, 4392, 5272, 5376, 7952, 9835, 9848, 10476, 11280, 16369, 16744, 26068, 34628, 37788, 41528, 104608, 104744, 110996, 119884} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			if r := Play(seed, Faults{}); r.Failure != "" {
 				t.Errorf("%.1500s", r.Failure)
