platform: confirm a node's identity after 30 s, so that an earlier break ends no task

The doubt now ends once the list has had 30 s to tell; out of reach means that probes have failed for 1 s. TestTaskOutlivesEarlierBreak guards the first.

--- a/internal/decide/nodefailure/nodefailure.go
+++ b/internal/decide/nodefailure/nodefailure.go
@@ -14,6 +14,7 @@
 	probeInterval       = 400  // minimum time between the starts of two probes
 	refusedTimeout      = 1200 // time of refused connections after which a node counts as ended: for a moment it may just be full
 	contactTimeout      = 7600 // time without a contact after which tasks count as lost: clients are to be notified of a loss within 8 s
+	outOfReachTime      = 1000 // time for which probes must have failed for a node to be out of reach: more than one
 	minProbeFailureTime = 2000 // time for which probes must have failed: a single one may fail because a packet is lost
 )
 
@@ -32,8 +33,10 @@
 // LastContactAt returns when the last contact was, 0 if there was none.
 func (d *Detector) LastContactAt() float64 { return d.lastContactAt }
 
-// IsFailing reports whether probes have failed since the last contact.
-func (d *Detector) IsFailing() bool { return d.failingSince > 0 }
+// IsOutOfReach reports whether probes have failed for some time since the last contact.
+func (d *Detector) IsOutOfReach(now float64) bool {
+	return d.failingSince > 0 && now-d.failingSince >= outOfReachTime
+}
 
 // OnProbe records that a probe starts.
 func (d *Detector) OnProbe(now float64) { d.probing, d.lastProbeAt = true, now }
--- a/internal/decide/nodeidentity/nodeidentity.go
+++ b/internal/decide/nodeidentity/nodeidentity.go
@@ -117,16 +117,18 @@
 // OnAddressOwned records that the list gives the node its address, as the only one there. Which process answers is still as uncertain as before.
 func (i *Identity) OnAddressOwned() { i.displaced = false }
 
-// Knows reports whether a connection is known to lead to the node. toldUpTo is the time up to which the list is current: what the list can't have told yet
-// may have happened before the connection was made.
-func (i *Identity) Knows(now, toldUpTo float64, c *nodefailure.Connection) bool {
-	switch {
-	case c.EstablishedAt == 0 || c.EstablishedAt+listNoticeTime > toldUpTo:
-		return false
-	case !i.inDoubt || c.EstablishedAt <= i.aliveAt:
-		return true
+// Confirm ends the doubt once the node was reached for long enough, without another sign, for the list to have told of another process. toldUpTo is the
+// time up to which the list is current.
+func (i *Identity) Confirm(toldUpTo float64) {
+	if i.reachedAt > 0 && toldUpTo-i.reachedAt >= confirmationTime {
+		i.clear()
 	}
-	return !i.displaced && i.reachedAt > 0 && now-i.reachedAt >= confirmationTime
+}
+
+// Knows reports whether a connection is known to lead to the node. What the list, which is current up to toldUpTo, can't have told yet may have happened
+// before the connection was made.
+func (i *Identity) Knows(toldUpTo float64, c *nodefailure.Connection) bool {
+	return c.EstablishedAt > 0 && c.EstablishedAt+listNoticeTime <= toldUpTo && i.IsFromBefore(c)
 }
 
 // IsFromBefore reports whether a connection was made before any sign that the node's process may have ended.
--- a/internal/decide/nodeidentity/nodeidentity_test.go
+++ b/internal/decide/nodeidentity/nodeidentity_test.go
@@ -42,7 +42,7 @@
 	} {
 		var i Identity
 		c.events(&i)
-		if got := i.Knows(25000, 25000, c.conn); got != c.want {
+		if got := i.Knows(25000, c.conn); got != c.want {
 			t.Errorf("%s: got known %t, want %t", c.name, got, c.want)
 		}
 	}
@@ -51,28 +51,36 @@
 // TestListIsNotCurrent checks that a connection is not known to lead to its node while the list can't tell of another one there.
 func TestListIsNotCurrent(t *testing.T) {
 	var i Identity
-	if i.Knows(60000, 22999, connection(19999, 20000, 0)) || !i.Knows(60000, 23000, connection(19999, 20000, 0)) {
+	if i.Knows(22999, connection(19999, 20000, 0)) || !i.Knows(23000, connection(19999, 20000, 0)) {
 		t.Error("got a connection known to lead to its node before the list can have told, or not known after")
 	}
 }
 
-// TestIdentityIsConfirmed checks that connections are known again once the node was reached for long enough without another sign.
+// TestIdentityIsConfirmed checks that connections are known again, and that no task counts as ended for an earlier sign, once the node was reached for long
+// enough without another sign.
 func TestIdentityIsConfirmed(t *testing.T) {
 	var i Identity
 	conn := connection(1999, 2000, 0)
-	knows := func(now float64) bool { return i.Knows(now, now, conn) }
+	knows := func(now float64) bool {
+		i.Confirm(now)
+		return i.Knows(now, conn)
+	}
 	i.OnConnectFailed(connection(1000, 0, 0), 0)
 	if knows(1000 + 10*confirmationTime) {
 		t.Error("a node that was not reached since: got known")
 	}
 	i.OnConnected(conn)
-	if knows(2000+confirmationTime-1) || !knows(2000+confirmationTime) {
-		t.Error("got a node that is not known again after the confirmation time, or is before")
+	if knows(2000 + confirmationTime - 1) {
+		t.Error("got a node that is known again before the confirmation time")
 	}
 	i.OnConnectFailed(connection(3000, 0, 0), 2000)
 	if knows(2000 + confirmationTime) {
 		t.Error("another dial failed since: got known")
 	}
+	i.OnConnected(connection(3999, 4000, 0))
+	if !knows(4000+confirmationTime) || i.HasPresumablyEnded(100000, false, true, 500) {
+		t.Error("got a node that is not known again after the confirmation time, or a task that counts as ended for the earlier sign")
+	}
 }
 
 // TestHasPresumablyEnded checks when a task at a node that fell silent after 9000 ms, and accepts connections again, counts as ended.
--- a/internal/platform/node_identity.go
+++ b/internal/platform/node_identity.go
@@ -16,6 +16,7 @@
 // reportIdentity tells the host whether what is sent to the node is known to reach it, if that has changed: whether there is a connection that is known to
 // lead to the node.
 func (n *node) reportIdentity(now float64) {
+	n.identity.Confirm(n.server.endpoints.currentUpTo(now))
 	if known := slices.ContainsFunc(n.conns, func(c *nodeConn) bool { return c.isKnown(now) }); known != n.identityKnown {
 		n.identityKnown = known
 		n.server.telemetry.trace("identity", 0, func(e *zerolog.Event) {
@@ -30,7 +31,7 @@
 
 // knows reports whether a connection is known to lead to the node.
 func (n *node) knows(now float64, connection *nodefailure.Connection) bool {
-	return n.identity.Knows(now, n.server.endpoints.currentUpTo(now), connection)
+	return n.identity.Knows(n.server.endpoints.currentUpTo(now), connection)
 }
 
 // knownConn returns a connection that is known to lead to the node: an idle one, else the one with the fewest requests, nil if there is none.
@@ -49,7 +50,7 @@
 		return
 	}
 	s := n.server
-	current, outOfReach := s.endpoints.isCurrent(now), n.failureDetector.IsFailing()
+	current, outOfReach := s.endpoints.isCurrent(now), n.failureDetector.IsOutOfReach(now)
 	ended := slices.DeleteFunc(n.sortedTasks(), func(r *request) bool {
 		return !n.identity.HasPresumablyEnded(now, current, outOfReach, r.placed.KnownAt)
 	})
@@ -117,7 +118,7 @@
 			c.abandon("its address belongs to another node")
 		}
 	}
-	if wasListed && !n.isAliveBeside(owner) {
+	if wasListed && len(n.running) > 0 && !n.isAliveBeside(owner) {
 		n.loseTasks(now)
 	}
 	n.checkConnsNow(now)
--- a/internal/platform/node_identity_test.go
+++ b/internal/platform/node_identity_test.go
@@ -54,3 +54,19 @@
 	r.advance(50)
 	x.want("after the hand-over", "7 end 16")
 }
+
+// TestTaskOutlivesEarlierBreak guards against ending a task that runs: the only connection to its node broke long before the journal service falls silent.
+func TestTaskOutlivesEarlierBreak(t *testing.T) {
+	r := startRig(t, "a")
+	n, x := r.nodes["a"], r.dial()
+	x.request(7, "single")
+	r.advance(1000)
+	n.resetConns()
+	r.advance(40000)
+	r.journal.silent = true
+	r.advance(20000)
+	x.want("while the journal service is silent", "7 served "+n.description(7))
+	if !n.running[7] {
+		t.Error("the task was stopped")
+	}
+}
