lab/platformsim: send nothing on a connection that has closed meanwhile

Seen: the soak panics (nil connection) in its first seconds: on sockets the last open connection may close between the check whether the client may request and the request.

--- a/internal/lab/platformsim/client.go
+++ b/internal/lab/platformsim/client.go
@@ -251,10 +251,13 @@
 	}
 }
 
-// send sends the request for a task on an open connection.
+// send sends the request for a task on an open connection. On sockets the last one may have been closed since mayRequest; nothing is sent then.
 func (c *client) send(t *task) {
 	sm := c.sim
 	t.scheduler, t.conn, t.requestedAt = c.scheduler, c.openConn(), sm.clock.TrueTime()
+	if t.conn == nil {
+		return
+	}
 	sm.tasks[t.id], c.pending[t.id] = t, t
 	t.late = c.scheduler.stoppedAt > 0 && t.requestedAt > c.scheduler.stoppedAt+earlyRequestTime
 	if t.late {
