decide/nodeidentity: begin the confirmation anew with each sign

Found on reading the mend again: a node counts as confirmed 30 s after it was reached, without another sign, says its comment; only a dial that failed began the time anew. After a second break, health check without an answer or slow connection the doubt ended by the time since the first, and keyed repeats could go to another node at the address. TestEachSignRestartsConfirmation failed for these three before.

--- a/internal/decide/nodeidentity/nodeidentity.go
+++ b/internal/decide/nodeidentity/nodeidentity.go
@@ -44,7 +44,6 @@
 		aliveAt = min(aliveAt, contactAt)
 	}
 	i.doubt(aliveAt)
-	i.reachedAt = 0
 }
 
 // OnConnected records that a connection was made.
@@ -70,8 +69,9 @@
 // lastSign returns when a connection last showed that its process lives.
 func lastSign(c *nodefailure.Connection) float64 { return max(c.EstablishedAt, c.ReceivedAt) }
 
-// doubt records a sign that the process may have ended after a time.
+// doubt records a sign that the process may have ended after a time. What was reached before the sign confirms nothing.
 func (i *Identity) doubt(aliveAt float64) {
+	i.reachedAt = 0
 	if !i.inDoubt {
 		i.inDoubt, i.aliveAt = true, aliveAt
 		return
--- a/internal/decide/nodeidentity/nodeidentity_test.go
+++ b/internal/decide/nodeidentity/nodeidentity_test.go
@@ -83,6 +83,30 @@
 	}
 }
 
+// TestEachSignRestartsConfirmation guards against a doubt that ends too early: a second sign, of any kind, comes before the node is confirmed.
+func TestEachSignRestartsConfirmation(t *testing.T) {
+	first := connection(1999, 2000, 2100)
+	for name, sign := range map[string]func(i *Identity){
+		"a break":                 func(i *Identity) { i.OnDisconnected(first, false) },
+		"an unanswered check":     func(i *Identity) { i.OnUnanswered(first) },
+		"a slow connection":       func(i *Identity) { i.OnConnected(connection(20000, 21000, 0)) },
+		"a connection that fails": func(i *Identity) { i.OnConnectFailed(connection(20000, 0, 0), 2100) },
+	} {
+		var i Identity
+		i.OnDisconnected(connection(500, 501, 1000), false)
+		i.OnConnected(first)
+		sign(&i)
+		later := connection(22000, 22001, 0)
+		i.OnConnected(later)
+		if i.Confirm(2000 + confirmationTime); i.Knows(2000+confirmationTime, later) {
+			t.Errorf("%s: got the node confirmed by the time since before it", name)
+		}
+		if i.Confirm(22001 + confirmationTime); !i.Knows(22001+confirmationTime, later) {
+			t.Errorf("%s: got the node not confirmed after the time since it", name)
+		}
+	}
+}
+
 // TestHasPresumablyEnded checks when a task at a node that fell silent after 9000 ms, and accepts connections again, counts as ended.
 func TestHasPresumablyEnded(t *testing.T) {
 	for _, c := range []struct {
