platform: let only a node that has its address displace others there

The last entry of a node that is gone, with a start time, then ends the tasks of another gone node at the address that still runs them. TestGoneNodeDisplacesNoOther failed before.

--- a/internal/platform/endpoint_watch.go
+++ b/internal/platform/endpoint_watch.go
@@ -190,6 +190,9 @@
 	}
 	s.host.ListEnd()
 	for _, change := range u.changes {
+		if change.node.isUnavailable() {
+			continue
+		}
 		for _, n := range s.nodes.nodesBeside(change.node) {
 			n.displace(u.now, change.node, n == change.displaced)
 		}
--- a/internal/platform/node_identity_test.go
+++ b/internal/platform/node_identity_test.go
@@ -70,3 +70,18 @@
 		t.Error("the task was stopped")
 	}
 }
+
+// TestGoneNodeDisplacesNoOther guards against ending a task that runs at a gone node: another node at its address is gone too, and its last entry has a start time.
+func TestGoneNodeDisplacesNoOther(t *testing.T) {
+	r := startRig(t, "a")
+	n, x := r.nodes["a"], r.dial()
+	startedAt := r.unixNow()
+	x.request(7, "single")
+	r.advance(1000)
+	r.journal.publish(entryJSON("a", "a", "gone"))
+	r.journal.publish(entryJSON("b", "a", "ready"))
+	r.advance(100)
+	r.journal.publish(strings.Replace(entryJSON("b", "a", "gone"), `"since_ms":0`, fmt.Sprintf(`"since_ms":%.0f`, startedAt), 1))
+	r.advance(5000)
+	x.want("after both are gone", "7 served "+n.description(7))
+}
