--- /dev/null
+++ b/review/_rig2/handover.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// handOver: a scheduler is killed and starts again 1.3 s later. Meanwhile a node restarts, which takes 1.4 s and cuts its tasks. The owner, which was
+// told nothing, hands its tasks over to the scheduler as soon as that has passed a test.
+func handOver(s setting) (int, error) {
+	f, err := startFleet(s, settingsText(1, 29), []int64{0, 0, 0, 0}, nil)
+	if err != nil {
+		return noRun, err
+	}
+	defer func() { f.scheduler.kill() }()
+	if err := f.place(1, 24, "batch"); err != nil {
+		return noRun, err
+	}
+	struck := f.nodes[0]
+	for _, n := range f.nodes {
+		if len(n.tasks()) > len(struck.tasks()) {
+			struck = n
+		}
+	}
+	at := map[uint64]string{}
+	for _, n := range f.nodes {
+		for _, task := range n.tasks() {
+			at[task] = n.name
+		}
+	}
+	address, killed := f.scheduler.address, time.Now()
+	f.scheduler.kill()
+	s.record.add("scheduler: killed")
+	cut, ended := struck.tasks(), time.Now()
+	if s.trouble {
+		struck.die()
+		time.AfterFunc(1400*time.Millisecond, func() {
+			if err := struck.comeBack(); err != nil {
+				s.record.add("node %s: %v", struck.name, err)
+				return
+			}
+			since := time.Now()
+			time.AfterFunc(time.Second, func() { f.journal.publish(struck.entry("ready", since.UnixMilli())) })
+		})
+	}
+	time.Sleep(time.Until(killed.Add(1300 * time.Millisecond)))
+	if f.scheduler, err = startScheduler(s.record, s.root, settingsText(1, 29), address, f.journal); err != nil {
+		return noRun, err
+	}
+	if f.owner, err = dial(s.record, address); err != nil {
+		return noRun, err
+	}
+	for task, name := range at {
+		if err := f.owner.ask(task, "batch", 5*time.Second, name); err != nil {
+			return noRun, err
+		}
+	}
+	if !s.trouble { // the tasks end by themselves
+		time.Sleep(time.Second)
+		ended = time.Now()
+		for _, task := range cut {
+			struck.finish(task, struck.process)
+		}
+	}
+	if len(cut) == 0 {
+		return noRun, fmt.Errorf("no task ran at the node")
+	}
+	late := 0
+	for _, task := range cut {
+		if h, ok := f.owner.await(task, 0, time.Until(ended.Add(30*time.Second))); !ok || h.at.Sub(ended) > endLimit {
+			s.record.say("task %d was cut and its owner was not told in time (told at all: %t)", task, ok)
+			late++
+		}
+	}
+	s.record.say("%d tasks were cut, %d of them released late or never within 30 s; limit %.2f s", len(cut), late, endLimit.Seconds())
+	if late > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
--- a/review/_rig2/loststop.go
+++ b/review/_rig2/loststop.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// lostStop: nodes forget their idle connections. The owner then stops its services, which are run-once tasks, and asks for all of them again.
+// lostStop: nodes forget their idle connections. The owner then stops two of six services, which are run-once tasks, and asks for all of them again.
 func lostStop(s setting) (int, error) {
-	const count = 9
+	const count = 20
 	f, err := startFleet(s, settingsText(1, 29), []int64{0, 0, 0}, nil)
 	if err != nil {
 		return noRun, err
@@ -15,7 +15,11 @@
 	}
 	var stand []uint64
 	for _, n := range f.nodes {
-		stand = append(stand, n.tasks()...)
+		for _, task := range n.tasks() {
+			if service := task / perService; service == 1 || service == 2 {
+				stand = append(stand, task)
+			}
+		}
 	}
 	time.Sleep(time.Second)
 	if s.trouble {
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -32,6 +32,7 @@
 	"crowd":        crowd,
 	"cold-node":    coldNode,
 	"replaced":     replaced,
+	"hand-over":    handOver,
 	"lost-stop":    lostStop,
 	"lost-release": lostRelease,
 	"stall-loss":   stallLoss,
--- a/review/_rig2/scheduler.go
+++ b/review/_rig2/scheduler.go
@@ -172,13 +172,15 @@
 	return x, nil
 }
 
-// namePart is the part of a task's number that gives its name.
-const namePart = 1_000_000
+const (
+	namePart   = 1_000_000 // the part of a task's number that gives its name
+	perService = 4         // tasks of a service
+)
 
 // ask sends a set-up for a new task. at names the node that holds it already, if any.
 func (x *client) ask(task uint64, class string, left time.Duration, at string) error {
 	name := task % namePart // an owner that asks again uses a new number for the same name
-	figures := fmt.Sprintf("cores:1;memory:2;service:%016x", name/4+1000)
+	figures := fmt.Sprintf("cores:1;memory:2;service:%016x", name/perService+1000)
 	if at != "" {
 		figures += ";at:" + at
 	}
