--- a/review/_rig2/lostrelease.go
+++ b/review/_rig2/lostrelease.go
@@ -4,12 +4,25 @@
 	"time"
 )
 
-// lostRelease: connections to nodes are reset while they are idle, each time when a release of the node is on its way on it.
+// lostRelease: one connection to each of two nodes is reset while it is idle but for a release of the node, which is on its way on it.
 func lostRelease(s setting) (int, error) {
-	f, err := startFleet(s, settingsText(1, 29), []int64{0, 0}, nil)
+	proxies := map[*node]*proxy{}
+	var proxyErr error
+	f, err := startFleet(s, settingsText(1, 29), []int64{0, 0}, func(n *node) {
+		p, err := startProxy(s.record, n.addr)
+		if err != nil {
+			proxyErr = err
+			return
+		}
+		proxies[n], n.listed = p, p.address()
+	})
 	if err != nil {
 		return noRun, err
 	}
+	if proxyErr != nil {
+		f.scheduler.kill()
+		return noRun, proxyErr
+	}
 	defer f.scheduler.kill()
 	for task := uint64(1); task <= 30; task++ { // several at a time, so that there are several connections to each node
 		if err := f.owner.ask(task, "batch", 5*time.Second, ""); err != nil {
@@ -35,10 +48,9 @@
 			if task < 1000 && len(f.owner.got(task)) == 1 && len(ended) < 6 {
 				ended[task] = time.Now()
 				if s.trouble {
-					n.finishLost(task)
-				} else {
-					n.finish(task, 0)
+					proxies[n].resetUnder(task)
 				}
+				n.finish(task, 0)
 				time.Sleep(200 * time.Millisecond)
 				break
 			}
@@ -50,7 +62,11 @@
 		if !ok || h.at.Sub(at) > endLimit {
 			late++
 		}
-		f.record.say("task %d: told %t after %.1f s", task, ok, h.at.Sub(at).Seconds())
+		if ok {
+			f.record.say("task %d has ended, and its owner was told after %.1f s", task, h.at.Sub(at).Seconds())
+		} else {
+			f.record.say("task %d has ended, and its owner was not told within 30 s", task)
+		}
 	}
 	f.record.say("%d tasks have ended, %d of them released late or never", len(ended), late)
 	if late > 0 {
--- a/review/_rig2/node.go
+++ b/review/_rig2/node.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"sync"
@@ -20,6 +21,7 @@
 	name, zone string
 	record     *record
 	addr       string
+	listed     string        // the address in the node list; empty: its own
 	delay      time.Duration // from a set-up to its answer
 
 	mu      sync.Mutex
@@ -51,7 +53,7 @@
 }
 
 func (n *node) entry(status string, since int64) entry {
-	return entry{Name: n.name, Address: n.addr, Zone: n.zone, Type: "std", Group: int(n.name[len(n.name)-1]), Status: status, Weight: 1, Since: since, Room: [2]float64{32, 64}}
+	return entry{Name: n.name, Address: cmp.Or(n.listed, n.addr), Zone: n.zone, Type: "std", Group: int(n.name[len(n.name)-1]), Status: status, Weight: 1, Since: since, Room: [2]float64{32, 64}}
 }
 
 func (n *node) accept(l net.Listener, process int) {
@@ -63,9 +65,11 @@
 		n.mu.Lock()
 		n.conns[c] = process
 		for _, task := range n.again {
-			n.record.add("node %s: release of task %d sent on a new connection", n.name, task)
 			n.write(c, encode(kindEnd, task, cause(causeNormal)))
 		}
+		if len(n.again) > 0 {
+			n.record.add("node %s: releases of tasks %v sent on a new connection", n.name, n.again)
+		}
 		n.again = nil
 		n.mu.Unlock()
 		go func() {
@@ -141,7 +145,8 @@
 	}
 }
 
-// finish ends a task by itself, and releases it on an open connection.
+// finish ends a task by itself. Its release is sent on the connection of its set-up, or failing that on any open one, and also on the next connection that
+// is opened.
 func (n *node) finish(task uint64, process int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -150,12 +155,20 @@
 	}
 	delete(n.running, task)
 	n.record.add("node %s: task %d has come to its end", n.name, task)
-	for c, p := range n.conns {
-		if p == n.process {
-			n.write(c, encode(kindEnd, task, cause(causeNormal), param{paramReport, n.report()}))
-			return
+	n.again = append(n.again, task)
+	if c := n.openConn(n.came[task]); c != nil {
+		n.write(c, encode(kindEnd, task, cause(causeNormal), param{paramReport, n.report()}))
+	}
+}
+
+// openConn returns a connection if it is open, else any open one, nil if there is none. The caller holds the lock.
+func (n *node) openConn(wanted net.Conn) (found net.Conn) {
+	for c, process := range n.conns {
+		if process == n.process && !n.forgot[c] && (found == nil || c == wanted) {
+			found = c
 		}
 	}
+	return found
 }
 
 // forget makes the node forget all its connections.
@@ -173,11 +186,8 @@
 	for range time.Tick(every) {
 		n.mu.Lock()
 		for task := range n.running {
-			for c, p := range n.conns {
-				if p == n.process {
-					n.write(c, encode(kindNote, task, param{paramReason, "cores"}, param{paramFigure, "0.5"}))
-					break
-				}
+			if c := n.openConn(n.came[task]); c != nil {
+				n.write(c, encode(kindNote, task, param{paramReason, "cores"}, param{paramFigure, "0.5"}))
 			}
 			break
 		}
@@ -185,22 +195,6 @@
 	}
 }
 
-// finishLost ends a task by itself. The connection of its set-up is reset under the release, which is sent again on the next connection.
-func (n *node) finishLost(task uint64) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	c, open := n.came[task].(*net.TCPConn)
-	if _, ok := n.running[task]; !ok || !open {
-		return
-	}
-	delete(n.running, task)
-	n.record.add("node %s: task %d has come to its end; its connection is reset under the release", n.name, task)
-	n.again = append(n.again, task)
-	_ = c.SetLinger(0)
-	_ = c.Close()
-	delete(n.conns, c)
-}
-
 func (n *node) write(c net.Conn, b []byte) { _, _ = c.Write(b) }
 
 // tasks returns the tasks that run.
