--- a/review/_rig2/handover.go
+++ b/review/_rig2/handover.go
@@ -44,7 +44,7 @@
 		})
 	}
 	time.Sleep(time.Until(killed.Add(1300 * time.Millisecond)))
-	if f.scheduler, err = startScheduler(s.record, s.root, settingsText(1, 29), address, f.journal); err != nil {
+	if f.scheduler, err = startScheduler(s, settingsText(1, 29), address, f.journal); err != nil {
 		return noRun, err
 	}
 	if f.owner, err = dial(s.record, address); err != nil {
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -4,8 +4,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"runtime"
+	"syscall"
 	"time"
 )
 
@@ -23,6 +25,7 @@
 type setting struct {
 	record  *record
 	root    string
+	temp    string // a folder that is removed at the end
 	trouble bool // the disruption happens
 }
 
@@ -63,11 +66,25 @@
 		fmt.Fprintln(os.Stderr, err)
 		return noRun
 	}
-	time.AfterFunc(maxTime, func() { // the scheduler ends with this process
-		r.say("the case did not end in time")
+	temp, err := os.MkdirTemp("", "review")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return noRun
+	}
+	defer func() { _ = os.RemoveAll(temp) }()
+	go func() { // the scheduler ends with this process
+		ended := make(chan os.Signal, 1)
+		signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+		select {
+		case <-ended:
+			r.say("the case was ended by a signal")
+		case <-time.After(maxTime):
+			r.say("the case did not end in time")
+		}
+		_ = os.RemoveAll(temp)
 		os.Exit(noRun)
-	})
-	code, err := cases[os.Args[1]](setting{r, root, os.Getenv("TROUBLE") != "0"})
+	}()
+	code, err := cases[os.Args[1]](setting{r, root, temp, os.Getenv("TROUBLE") != "0"})
 	if err != nil {
 		r.say("the case could not run: %v", err)
 		return noRun
--- a/review/_rig2/restart.go
+++ b/review/_rig2/restart.go
@@ -42,7 +42,7 @@
 	if f.journal, err = startJournal(s.record, list...); err != nil {
 		return nil, err
 	}
-	if f.scheduler, err = startScheduler(s.record, s.root, settings, "", f.journal); err != nil {
+	if f.scheduler, err = startScheduler(s, settings, "", f.journal); err != nil {
 		return nil, err
 	}
 	time.Sleep(3 * time.Second) // a scheduler that has just started does not use nodes in slow start
--- a/review/_rig2/scheduler.go
+++ b/review/_rig2/scheduler.go
@@ -46,7 +46,7 @@
 
 // startScheduler starts the program from the root of the repository and waits until it has passed a test. The calling goroutine has to be locked
 // to its thread, which must live as long as the process.
-func startScheduler(r *record, root, settings, address string, j *journal) (*scheduler, error) {
+func startScheduler(x setting, settings, address string, j *journal) (*scheduler, error) {
 	runtime.LockOSThread()
 	if address == "" {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -56,11 +56,11 @@
 		address = l.Addr().String()
 		_ = l.Close()
 	}
-	dir, err := os.MkdirTemp("", "review")
+	dir, err := os.MkdirTemp(x.temp, "scheduler")
 	if err != nil {
 		return nil, err
 	}
-	s := &scheduler{address: address, dir: dir, record: r, ended: make(chan struct{})}
+	s := &scheduler{address: address, dir: dir, record: x.record, ended: make(chan struct{})}
 	config, err := json.Marshal(map[string]any{
 		"name": "n0", "listen": address, "journal": j.address(), "seed": fmt.Sprintf("%x", time.Now().UnixNano()),
 		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256}, "known": j.known(), "settings": json.RawMessage(settings),
@@ -80,7 +80,7 @@
 	if level := os.Getenv("LEVEL"); level != "" {
 		s.command = exec.Command("/bin/sh", "-c", "exec bin/ravenpond platform --level "+level)
 	}
-	s.command.Dir, s.command.Stderr, s.command.Stdout = root, log, log
+	s.command.Dir, s.command.Stderr, s.command.Stdout = x.root, log, log
 	s.command.Env = append(os.Environ(), "GW_CONFIG="+file, "GW_NAME=n0", "GW_LISTEN="+address, "TMPDIR="+dir)
 	s.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := s.command.Start(); err != nil {
@@ -89,7 +89,7 @@
 	go func() { _ = s.command.Wait(); close(s.ended) }()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if s.test() {
-			r.add("scheduler: ready at %s", address)
+			x.record.add("scheduler: ready at %s", address)
 			return s, nil
 		}
 	}
@@ -125,7 +125,6 @@
 func (s *scheduler) kill() {
 	_ = s.command.Process.Kill()
 	<-s.ended
-	_ = os.RemoveAll(s.dir)
 }
 
 func (s *scheduler) log() string {
