--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -26,7 +26,7 @@
 	record  *record
 	root    string
 	temp    string // a folder that is removed at the end
-	trouble bool // the disruption happens
+	trouble bool   // the disruption happens
 }
 
 var cases = map[string]func(s setting) (int, error){
