--- a/review/_rig2/handover.go
+++ b/review/_rig2/handover.go
@@ -2,17 +2,29 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
-// handOver: a scheduler is killed and starts again 1.3 s later. Meanwhile a node restarts, which takes 1.4 s and cuts its tasks. The owner, which was
+// schedulers is how many run in handOver.
+const schedulers = 4
+
+// handOver: one of four schedulers is killed and starts again 1.2 s later. Meanwhile a node restarts, which takes 1.4 s and cuts its tasks. The owner, which was
 // told nothing, hands its tasks over to the scheduler as soon as that has passed a test.
 func handOver(s setting) (int, error) {
-	f, err := startFleet(s, settingsText(1, 29), []int64{0, 0, 0, 0}, nil)
+	settings := settingsText(schedulers, 29)
+	f, err := startFleet(s, settings, []int64{0, 0, 0, 0}, nil)
 	if err != nil {
 		return noRun, err
 	}
 	defer func() { f.scheduler.kill() }()
+	for i := 1; i < schedulers; i++ { // these run on; their owners ask for nothing
+		other, err := startScheduler(s, strings.Replace(settings, `"self-index": 0`, fmt.Sprintf(`"self-index": %d`, i), 1), "", f.journal)
+		if err != nil {
+			return noRun, err
+		}
+		defer other.kill()
+	}
 	if err := f.place(1, 24, "batch"); err != nil {
 		return noRun, err
 	}
@@ -43,10 +55,11 @@
 			time.AfterFunc(time.Second, func() { f.journal.publish(struck.entry("ready", since.UnixMilli())) })
 		})
 	}
-	time.Sleep(time.Until(killed.Add(1300 * time.Millisecond)))
-	if f.scheduler, err = startScheduler(s, settingsText(1, 29), address, f.journal); err != nil {
+	time.Sleep(time.Until(killed.Add(1200 * time.Millisecond)))
+	if f.scheduler, err = startScheduler(s, settings, address, f.journal); err != nil {
 		return noRun, err
 	}
+	s.record.add("scheduler: was away for %.0f ms", time.Since(killed).Seconds()*1000)
 	if f.owner, err = dial(s.record, address); err != nil {
 		return noRun, err
 	}
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -25,8 +25,9 @@
 type setting struct {
 	record  *record
 	root    string
-	temp    string // a folder that is removed at the end
-	trouble bool   // the disruption happens
+	temp    string        // a folder that is removed at the end
+	trouble bool          // the disruption happens
+	settle  time.Duration // between the start of the scheduler and the first set-up
 }
 
 var cases = map[string]func(s setting) (int, error){
@@ -84,7 +85,7 @@
 		_ = os.RemoveAll(temp)
 		os.Exit(noRun)
 	}()
-	code, err := cases[os.Args[1]](setting{r, root, temp, os.Getenv("TROUBLE") != "0"})
+	code, err := cases[os.Args[1]](setting{r, root, temp, os.Getenv("TROUBLE") != "0", 3 * time.Second})
 	if err != nil {
 		r.say("the case could not run: %v", err)
 		return noRun
--- a/review/_rig2/node.go
+++ b/review/_rig2/node.go
@@ -25,10 +25,10 @@
 	delay      time.Duration // from a set-up to its answer
 
 	mu      sync.Mutex
-	full    bool          // it refuses every set-up for lack of cores
-	fails   string        // it answers set-ups of this class with an error
-	life    time.Duration // of a task; 0: until it is stopped
-	process int           // counts the starts
+	full    bool                 // it refuses every set-up for lack of cores
+	loses   func(m message) bool // the answer to this set-up is lost: the task runs, and the connection is reset under the request
+	life    time.Duration        // of a task; 0: until it is stopped
+	process int                  // counts the starts
 	l       net.Listener
 	conns   map[net.Conn]int // the process that accepted it
 	running map[uint64]int   // the process in which the task runs
@@ -115,8 +115,12 @@
 		switch {
 		case n.full:
 			n.write(c, encode(kindEnd, m.task, cause(causeFull), param{paramReason, "no_cores"}, param{paramReport, "x0:0;x1:0"}))
-		case n.fails != "" && n.fails == m.params[paramClass]:
-			n.write(c, encode(kindEnd, m.task, cause(causeError), param{paramReport, n.report()}))
+		case n.loses != nil && n.loses(m):
+			n.running[m.task] = process
+			n.record.add("node %s: task %d runs; its answer is lost, as the connection is reset under the request", n.name, m.task)
+			delete(n.conns, c)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
 		default:
 			time.AfterFunc(n.delay, func() { n.run(c, process, m.task) })
 		}
--- a/review/_rig2/restart.go
+++ b/review/_rig2/restart.go
@@ -45,7 +45,7 @@
 	if f.scheduler, err = startScheduler(s, settings, "", f.journal); err != nil {
 		return nil, err
 	}
-	time.Sleep(3 * time.Second) // a scheduler that has just started does not use nodes in slow start
+	time.Sleep(s.settle)
 	if f.owner, err = dial(s.record, f.scheduler.address); err != nil {
 		f.scheduler.kill()
 	}
